--- a/packages/core/include/lycheelanding/core/errorkind.h
+++ b/packages/core/include/lycheelanding/core/errorkind.h
@@ -14,6 +14,7 @@
     HeaderTooLarge,
     UnknownRoute,
     UnknownOrganisation,
+    UnknownKey,
     UnknownModel,
     OrganisationLimit,
     Overloaded,
--- a/packages/core/src/errorkind.cpp
+++ b/packages/core/src/errorkind.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
-constexpr std::array<ErrorAnswer, 27> answers{{
+constexpr std::array<ErrorAnswer, 28> answers{{
     {ErrorKind::MalformedRequest, "malformedRequest", 400, Ran::No, false, "The request is malformed"},
     {ErrorKind::RequestTooLarge, "requestTooLarge", 413, Ran::No, false, "The request body is too large"},
     {ErrorKind::HeaderTooLarge, "headerTooLarge", 431, Ran::No, false, "The request headers are too large"},
     {ErrorKind::UnknownRoute, "unknownRoute", 404, Ran::No, false, "No service has this path"},
     {ErrorKind::UnknownOrganisation, "unknownOrganisation", 403, Ran::No, false, "The organisation is not configured"},
+    {ErrorKind::UnknownKey, "unknownKey", 401, Ran::No, false, "No organisation holds the key"},
     {ErrorKind::UnknownModel, "unknownModel", 404, Ran::No, false, "The model is not configured"},
     {ErrorKind::OrganisationLimit, "organisationLimit", 429, Ran::No, true, "The organisation is over its limit"},
     {ErrorKind::Overloaded, "overloaded", 503, Ran::No, true, "All backend servers are at their limit"},
--- a/packages/http/include/lycheelanding/http/httpclient.h
+++ b/packages/http/include/lycheelanding/http/httpclient.h
@@ -39,7 +39,7 @@
 
 using HttpTransferId = std::uint64_t;
 
-/// Runs any number of HTTP requests at a time on one thread of its own (libcurl's multi interface).
+/// Runs any number of HTTP requests at a time on one thread of its own.
 class HttpClient
 {
 public:
--- a/packages/http/include/lycheelanding/http/httpmessages.h
+++ b/packages/http/include/lycheelanding/http/httpmessages.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-/// HTTP for callers, operators, backend servers and the platform: RESTinio as server, libcurl as client.
+/// HTTP/1.1 for callers, operators, backend servers and the platform, on Asio and http_parser.
 namespace lycheelanding::http {
 
 struct HttpHeader
@@ -29,6 +29,9 @@
 public:
     void add(std::string name, std::string value);
 
+    /// Drops every field called `name`.
+    void remove(std::string_view name);
+
     /// The value of the first field called `name`.
     std::optional<std::string> find(std::string_view name) const;
     const std::vector<HttpHeader> &fields() const { return m_fields; }
@@ -43,6 +46,9 @@
     std::vector<HttpHeader> m_fields;
 };
 
+/// Whether two field names are the same: case does not count.
+bool isSameHeaderName(std::string_view left, std::string_view right);
+
 struct HttpRequest
 {
     std::string method;
@@ -63,6 +69,12 @@
     std::string body;
 };
 
+/// The status line of an answer with its line end.
+std::string statusLine(int status);
+/// A request with a body of known length, as sent on a connection. Fields of `headers` that frame the body are left
+/// out.
+std::string serializedRequest(const HttpRequest &request, std::string_view host);
+
 /// A response with a JSON body.
 HttpResponse jsonResponse(int status, std::string body);
 
--- a/packages/http/include/lycheelanding/http/httpserver.h
+++ b/packages/http/include/lycheelanding/http/httpserver.h
@@ -30,6 +30,8 @@
 
     void respond(HttpResponse response);
     void startStream(int status, const HttpHeaders &headers);
+    /// As startStream(), for a body of which the length is known: a shorter one ends as a broken answer.
+    void startSized(int status, const HttpHeaders &headers, std::uint64_t bodyBytes);
     void sendChunk(std::string bytes);
     /// Ends the stream with its last chunk: the caller knows that the answer is whole.
     void finish();
@@ -58,8 +60,10 @@
     std::size_t maxHeaderValueBytes = 8UL * 1024;
     /// Further connections are closed as soon as they are accepted. At most half of the process's descriptors.
     std::size_t maxConnections = 4096;
-    /// A connection on which no whole request has arrived within this time is closed.
+    /// A connection on which no whole request has arrived within this time of its first byte is closed.
     std::chrono::milliseconds readTimeout = std::chrono::seconds(60);
+    /// A connection without a request for this long is closed; 0 means the read timeout.
+    std::chrono::milliseconds idleTimeout = std::chrono::milliseconds(0);
     /// A write to a caller that takes longer closes the connection.
     std::chrono::milliseconds writeTimeout = std::chrono::seconds(30);
 };
@@ -79,6 +83,12 @@
     core::Status start();
     /// Closes the listening socket; exchanges in progress go on, and answers begun from now on end their connections.
     void stopAccepting();
+    /// From now on answers end their connections; new ones are still accepted.
+    void startDraining();
+    /// Other timeouts hold from now on, for open connections too.
+    void setTimeouts(std::chrono::milliseconds readTimeout, std::chrono::milliseconds idleTimeout);
+    /// Closes the connections that have neither a request nor a part of one.
+    void closeIdleConnections();
     /// Closes the listening socket and aborts the exchanges in progress; requests on kept connections are refused.
     void close();
 
@@ -89,7 +99,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> m_d;
+    std::shared_ptr<Private> m_d;
 };
 
 } // namespace lycheelanding::http
--- /dev/null
+++ b/packages/http/src/clientconnection.cpp
@@ -0,0 +1,334 @@
+#include "lycheelanding/http/clientconnection.h"
+
+#include "private/messageparser.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace lycheelanding::http {
+
+namespace {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+template <int Name>
+using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+
+constexpr int firstFinalStatus = 200;
+constexpr int switchingProtocols = 101;
+/// A promised idle time is used up to this long before its end, so that few requests cross the server's close.
+constexpr std::chrono::milliseconds keepAliveMargin{1000};
+
+core::Error lostError(const asio::ip::tcp::endpoint &peer, const std::string &reason)
+{
+    return {core::ErrorKind::BackendServerLost,
+            peer.address().to_string() + ":" + std::to_string(peer.port()) + ": " + reason};
+}
+
+/// The number of seconds in a field such as "timeout=5, max=100".
+std::optional<std::chrono::seconds> keepAliveTime(std::string_view value)
+{
+    constexpr std::string_view name = "timeout=";
+    const auto at = value.find(name);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    int seconds = 0;
+    const char *const first = value.data() + at + name.size();
+    const auto [end, error] = std::from_chars(first, value.data() + value.size(), seconds);
+    return error == std::errc() && end != first ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
+std::optional<std::uint64_t> contentLength(const HttpHeaders &headers)
+{
+    const auto text = headers.find("Content-Length");
+    if (!text) {
+        return std::nullopt;
+    }
+    std::uint64_t length = 0;
+    const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), length);
+    return error == std::errc() ? std::optional(length) : std::nullopt;
+}
+
+} // namespace
+
+class ClientConnection::Private : public std::enable_shared_from_this<ClientConnection::Private>
+{
+public:
+    Private(asio::any_io_executor executor, asio::ip::tcp::endpoint peer, const SilenceLimits &limits)
+        : m_executor(std::move(executor)), m_peer(std::move(peer)), m_limits(limits), m_socket(m_executor),
+          m_connectTimer(m_executor), m_parser(MessageType::Response, {}, *this)
+    { }
+
+    void connect(std::chrono::milliseconds timeout, std::function<void(const core::Status &)> onConnected);
+    void send(std::string request, bool isHead, AnswerHandlers handlers);
+    void close();
+
+    // MessageSink
+    bool onHead(ParsedHead head);
+    void onBody(std::string_view bytes);
+    void onMessageEnd();
+
+private:
+    void connected(const asio::error_code &error);
+    void setOptions();
+    void read();
+    void onRead(const asio::error_code &error, std::size_t size);
+    void parse(std::string_view bytes);
+    void endAnswer(bool hasMoreBytes);
+    void fail(const std::string &reason);
+
+    const asio::any_io_executor m_executor;
+    const asio::ip::tcp::endpoint m_peer;
+    const SilenceLimits m_limits;
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_connectTimer;
+    MessageParser<Private> m_parser;
+    std::array<char, 4096> m_buffer{};
+    std::string m_request;
+    std::function<void(const core::Status &)> m_onConnected;
+    std::function<void()> m_onIdleEnd;
+    AnswerHandlers m_handlers;
+    std::optional<SteadyTime> m_keptUntil;
+    bool m_isOpen = false;
+    bool m_isHead = false;
+    bool m_isBusy = false;
+    bool m_isWriting = false;
+    bool m_isOwn = false;
+    bool m_isInterim = false;
+    bool m_hasSkipped = false;
+
+    friend class ClientConnection;
+};
+
+void ClientConnection::Private::connect(std::chrono::milliseconds timeout,
+                                        std::function<void(const core::Status &)> onConnected)
+{
+    m_onConnected = std::move(onConnected);
+    m_connectTimer.expires_after(timeout);
+    m_connectTimer.async_wait([self = shared_from_this()](const auto &error) {
+        if (!error) {
+            self->connected(asio::error::timed_out);
+        }
+    });
+    m_socket.async_connect(m_peer, [self = shared_from_this()](const auto &error) { self->connected(error); });
+}
+
+void ClientConnection::Private::connected(const asio::error_code &error)
+{
+    const auto handler = std::exchange(m_onConnected, nullptr);
+    if (!handler) {
+        return;
+    }
+    m_connectTimer.cancel();
+    if (error) {
+        close();
+        handler(core::Error{core::ErrorKind::PeerUnreachable, lostError(m_peer, error.message()).detail});
+        return;
+    }
+    setOptions();
+    m_isOpen = true;
+    handler(core::Done());
+    read();
+}
+
+void ClientConnection::Private::setOptions()
+{
+    asio::error_code ignored;
+    const int probeSeconds = static_cast<int>(m_limits.probeInterval.count());
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    m_socket.set_option(TcpOption<TCP_KEEPIDLE>(probeSeconds), ignored);
+    m_socket.set_option(TcpOption<TCP_KEEPINTVL>(probeSeconds), ignored);
+    m_socket.set_option(TcpOption<TCP_KEEPCNT>(m_limits.lostProbes), ignored);
+    m_socket.set_option(TcpOption<TCP_USER_TIMEOUT>(static_cast<int>(m_limits.unacknowledged.count())), ignored);
+}
+
+void ClientConnection::Private::send(std::string request, bool isHead, AnswerHandlers handlers)
+{
+    m_request = std::move(request);
+    m_isHead = isHead;
+    m_handlers = std::move(handlers);
+    m_isBusy = true;
+    m_isWriting = true;
+    m_hasSkipped = false;
+    // A failed write is left to the reading side: the server may have answered before it closed.
+    asio::async_write(m_socket, asio::buffer(m_request), [self = shared_from_this()](const auto &, auto) {
+        self->m_isWriting = false;
+        self->m_request.clear();
+    });
+}
+
+void ClientConnection::Private::read()
+{
+    if (!m_isOpen) {
+        return;
+    }
+    m_socket.async_read_some(asio::buffer(m_buffer),
+                             [self = shared_from_this()](const auto &error, auto size) { self->onRead(error, size); });
+}
+
+void ClientConnection::Private::onRead(const asio::error_code &error, std::size_t size)
+{
+    if (!m_isOpen) {
+        return;
+    }
+    if (!m_isBusy) {
+        const auto handler = std::exchange(m_onIdleEnd, nullptr);
+        close();
+        if (handler) {
+            handler();
+        }
+        return;
+    }
+    if (error) {
+        // A body without a length ends with its connection, unless that was reset.
+        if (error == asio::error::eof && m_parser.isInMessage() && m_parser.parseEnd() && m_isOwn) {
+            m_isOpen = false;
+            endAnswer(false);
+            return;
+        }
+        fail("the connection ended within the answer (" + error.message() + ")");
+        return;
+    }
+    parse({m_buffer.data(), size});
+    read();
+}
+
+void ClientConnection::Private::parse(std::string_view bytes)
+{
+    while (m_isOpen && m_isBusy && !bytes.empty()) {
+        const auto state = m_parser.parse(bytes);
+        if (state == ParseState::Failed || state == ParseState::Upgrade) {
+            fail("the answer breaks the protocol");
+            return;
+        }
+        if (state != ParseState::MessageEnded) {
+            return;
+        }
+        if (m_isOwn && !m_isInterim) {
+            endAnswer(!bytes.empty());
+            return;
+        }
+        m_hasSkipped = m_hasSkipped || !m_isInterim;
+    }
+}
+
+bool ClientConnection::Private::onHead(ParsedHead head)
+{
+    AnswerHead answer{head.status, std::move(head.headers), std::nullopt};
+    answer.bodyBytes = contentLength(answer.headers);
+    m_isInterim = answer.status < firstFinalStatus && answer.status != switchingProtocols;
+    m_isOwn = !m_handlers.isOwn || m_handlers.isOwn(answer);
+    m_keptUntil.reset();
+    if (const auto value = answer.headers.find("Keep-Alive")) {
+        if (const auto time = keepAliveTime(*value)) {
+            m_keptUntil = std::chrono::steady_clock::now() + *time - keepAliveMargin;
+        }
+    }
+    if (m_isOwn && !m_isInterim && m_handlers.onHead) {
+        m_handlers.onHead(std::move(answer));
+    }
+    return !m_isHead;
+}
+
+void ClientConnection::Private::onBody(std::string_view bytes)
+{
+    if (m_isOwn && !m_isInterim && m_isOpen && m_handlers.onBody) {
+        m_handlers.onBody(bytes);
+    }
+}
+
+void ClientConnection::Private::onMessageEnd() { }
+
+void ClientConnection::Private::endAnswer(bool hasMoreBytes)
+{
+    // A server that answers before it has read the whole request would take the rest of the body for the next one.
+    const bool isReusable = m_isOpen && m_parser.isKeepAlive() && !m_isWriting && !hasMoreBytes && !m_hasSkipped;
+    const auto handlers = std::exchange(m_handlers, {});
+    m_isBusy = false;
+    if (!isReusable) {
+        close();
+    }
+    if (handlers.onEnd) {
+        handlers.onEnd(isReusable);
+    }
+}
+
+void ClientConnection::Private::fail(const std::string &reason)
+{
+    const auto handlers = std::exchange(m_handlers, {});
+    m_isBusy = false;
+    close();
+    if (handlers.onFailed) {
+        handlers.onFailed(lostError(m_peer, reason));
+    }
+}
+
+void ClientConnection::Private::close()
+{
+    m_isOpen = false;
+    if (std::exchange(m_isBusy, false)) {
+        // One of the handlers may be what calls, so they are destroyed later.
+        asio::post(m_executor, [handlers = std::exchange(m_handlers, {})] {});
+    }
+    m_onIdleEnd = nullptr;
+    m_onConnected = nullptr;
+    m_connectTimer.cancel();
+    asio::error_code ignored;
+    m_socket.close(ignored);
+}
+
+ClientConnection::ClientConnection(asio::any_io_executor executor, asio::ip::tcp::endpoint peer,
+                                   const SilenceLimits &limits)
+    : m_d(std::make_shared<Private>(std::move(executor), std::move(peer), limits))
+{ }
+
+ClientConnection::~ClientConnection()
+{
+    m_d->close();
+}
+
+void ClientConnection::connect(std::chrono::milliseconds timeout, std::function<void(const core::Status &)> onConnected)
+{
+    m_d->connect(timeout, std::move(onConnected));
+}
+
+void ClientConnection::send(std::string request, bool isHead, AnswerHandlers handlers)
+{
+    m_d->send(std::move(request), isHead, std::move(handlers));
+}
+
+void ClientConnection::onIdleEnd(std::function<void()> handler)
+{
+    m_d->m_onIdleEnd = std::move(handler);
+}
+
+void ClientConnection::close()
+{
+    m_d->close();
+}
+
+const asio::ip::tcp::endpoint &ClientConnection::peer() const
+{
+    return m_d->m_peer;
+}
+
+bool ClientConnection::isOpen() const
+{
+    return m_d->m_isOpen;
+}
+
+std::optional<std::chrono::steady_clock::time_point> ClientConnection::keptUntil() const
+{
+    return m_d->m_keptUntil;
+}
+
+} // namespace lycheelanding::http
--- /dev/null
+++ b/packages/http/src/connectionpool.cpp
@@ -0,0 +1,82 @@
+#include "lycheelanding/http/connectionpool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheelanding::http {
+
+ConnectionPool::~ConnectionPool()
+{
+    closeAll();
+}
+
+ClientConnectionPointer ConnectionPool::take(const asio::ip::tcp::endpoint &peer)
+{
+    const auto found = m_idle.find(peer);
+    if (found == m_idle.end()) {
+        return nullptr;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    auto &idle = found->second;
+    while (!idle.empty()) {
+        const Idle last = std::move(idle.back());
+        idle.pop_back();
+        last.connection->onIdleEnd(nullptr);
+        if (last.connection->isOpen() && now < last.until) {
+            return last.connection;
+        }
+        last.connection->close();
+    }
+    m_idle.erase(found);
+    return nullptr;
+}
+
+void ConnectionPool::keep(const ClientConnectionPointer &connection)
+{
+    auto until = std::chrono::steady_clock::now() + m_longestIdle;
+    if (const auto promised = connection->keptUntil()) {
+        until = std::min(until, *promised);
+    }
+    // The pool outlives its connections: closing one takes its handler away.
+    connection->onIdleEnd([this, peer = connection->peer(), key = connection.get()] { drop(peer, key); });
+    m_idle[connection->peer()].push_back({connection, until});
+}
+
+void ConnectionPool::drop(const asio::ip::tcp::endpoint &peer, const ClientConnection *connection)
+{
+    const auto found = m_idle.find(peer);
+    if (found == m_idle.end()) {
+        return;
+    }
+    std::erase_if(found->second, [connection](const Idle &idle) { return idle.connection.get() == connection; });
+    if (found->second.empty()) {
+        m_idle.erase(found);
+    }
+}
+
+void ConnectionPool::closeTo(const asio::ip::tcp::endpoint &peer)
+{
+    const auto found = m_idle.find(peer);
+    if (found == m_idle.end()) {
+        return;
+    }
+    for (const auto &idle : found->second) {
+        idle.connection->close();
+    }
+    m_idle.erase(found);
+}
+
+void ConnectionPool::closeAll()
+{
+    while (!m_idle.empty()) {
+        closeTo(asio::ip::tcp::endpoint(m_idle.begin()->first));
+    }
+}
+
+std::size_t ConnectionPool::idleCount(const asio::ip::tcp::endpoint &peer) const
+{
+    const auto found = m_idle.find(peer);
+    return found == m_idle.end() ? 0 : found->second.size();
+}
+
+} // namespace lycheelanding::http
--- a/packages/http/src/httpmessages.cpp
+++ b/packages/http/src/httpmessages.cpp
@@ -1,6 +1,10 @@
 #include "lycheelanding/http/httpmessages.h"
 
+#include "private/headertext.h"
+#include "private/reasonphrases.h"
+
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -13,12 +17,6 @@
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
-bool isSameName(std::string_view left, std::string_view right)
-{
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                      [](char one, char other) { return lowered(one) == lowered(other); });
-}
-
 /// A sequence that is not two hexadecimal digits stays as it is.
 std::string percentDecoded(std::string_view text)
 {
@@ -41,6 +39,62 @@
 
 } // namespace
 
+bool isSameHeaderName(std::string_view left, std::string_view right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](char one, char other) { return lowered(one) == lowered(other); });
+}
+
+bool isFramingHeader(std::string_view name)
+{
+    constexpr std::array<std::string_view, 5> names{"content-length", "transfer-encoding", "connection", "keep-alive",
+                                                    "trailer"};
+    return std::any_of(names.begin(), names.end(),
+                       [name](std::string_view framing) { return isSameHeaderName(framing, name); });
+}
+
+void appendHeaderLine(std::string &text, std::string_view name, std::string_view value)
+{
+    text.append(name).append(": ").append(value).append("\r\n");
+}
+
+void appendHeaderLines(std::string &text, const HttpHeaders &headers)
+{
+    for (const auto &field : headers.fields()) {
+        if (!isFramingHeader(field.name)) {
+            appendHeaderLine(text, field.name, field.value);
+        }
+    }
+}
+
+std::string statusLine(int status)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reasonPhrase(status)) + "\r\n";
+}
+
+std::string serializedRequest(const HttpRequest &request, std::string_view host)
+{
+    std::string text;
+    constexpr std::size_t usualHeadBytes = 512;
+    text.reserve(usualHeadBytes + request.body.size());
+    text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    if (!request.headers.find("Host")) {
+        appendHeaderLine(text, "Host", host);
+    }
+    appendHeaderLines(text, request.headers);
+    const bool isBodyExpected = request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+    if (isBodyExpected || !request.body.empty()) {
+        appendHeaderLine(text, "Content-Length", std::to_string(request.body.size()));
+    }
+    text.append("\r\n").append(request.body);
+    return text;
+}
+
+void HttpHeaders::remove(std::string_view name)
+{
+    std::erase_if(m_fields, [name](const HttpHeader &field) { return isSameHeaderName(field.name, name); });
+}
+
 void HttpHeaders::add(std::string name, std::string value)
 {
     m_fields.push_back({std::move(name), std::move(value)});
@@ -49,7 +103,7 @@
 std::optional<std::string> HttpHeaders::find(std::string_view name) const
 {
     for (const auto &field : m_fields) {
-        if (isSameName(field.name, name)) {
+        if (isSameHeaderName(field.name, name)) {
             return field.value;
         }
     }
--- a/packages/http/src/private/httptransfer.cpp
+++ b/packages/http/src/private/httptransfer.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Kept connections are dropped earlier than our servers close idle ones, so that few requests meet a closed one.
-constexpr long keptConnectionSeconds = 20;
 constexpr std::array<std::string_view, 3> safeMethods{"GET", "HEAD", "OPTIONS"};
 
 bool isSafe(std::string_view method)
@@ -22,179 +20,164 @@
     return false;
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    constexpr std::string_view blanks = " \t\r\n";
-    const auto first = text.find_first_not_of(blanks);
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
 } // namespace
 
-HttpTransfer::HttpTransfer(HttpTransferId id, HttpClientRequest request, HttpClientHandlers handlers)
-    : m_id(id), m_request(std::move(request)), m_handlers(std::move(handlers)), m_easy(curl_easy_init())
-{
-    setUp();
-    setUpMethod();
-    setUpHeaders();
-}
-
-HttpTransfer::~HttpTransfer()
-{
-    curl_easy_cleanup(m_easy);
-    curl_slist_free_all(m_headerList);
-}
-
-void HttpTransfer::setUp()
-{
-    curl_easy_setopt(m_easy, CURLOPT_PRIVATE, this);
-    curl_easy_setopt(m_easy, CURLOPT_URL, m_request.url.c_str());
-    curl_easy_setopt(m_easy, CURLOPT_PROTOCOLS_STR, "http");
-    curl_easy_setopt(m_easy, CURLOPT_HTTP_VERSION, long{CURL_HTTP_VERSION_1_1});
-    curl_easy_setopt(m_easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(m_easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(m_easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(m_easy, CURLOPT_MAXAGE_CONN, keptConnectionSeconds);
-    curl_easy_setopt(m_easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(m_request.connectTimeout.count()));
-    curl_easy_setopt(m_easy, CURLOPT_TIMEOUT_MS, static_cast<long>(m_request.timeout.count()));
-    curl_easy_setopt(m_easy, CURLOPT_PREREQFUNCTION, &HttpTransfer::onBeforeSend);
-    curl_easy_setopt(m_easy, CURLOPT_PREREQDATA, this);
-    curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, &HttpTransfer::onHeaderLine);
-    curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, this);
-    curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, &HttpTransfer::onBody);
-    curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, this);
-}
-
-void HttpTransfer::setUpMethod()
+std::optional<UrlParts> urlPartsOf(std::string_view url)
 {
-    if (m_request.method == "HEAD") {
-        curl_easy_setopt(m_easy, CURLOPT_NOBODY, 1L);
-        return;
+    constexpr std::string_view scheme = "http://";
+    constexpr std::uint16_t defaultPort = 80;
+    if (!url.starts_with(scheme)) {
+        return std::nullopt;
+    }
+    url.remove_prefix(scheme.size());
+    UrlParts parts;
+    const auto slash = std::min(url.find('/'), url.size());
+    parts.authority = url.substr(0, slash);
+    parts.target = slash == url.size() ? "/" : std::string(url.substr(slash));
+    const auto colon = std::min(parts.authority.find(':'), parts.authority.size());
+    asio::error_code error;
+    const auto address = asio::ip::make_address_v4(parts.authority.substr(0, colon), error);
+    std::uint16_t port = defaultPort;
+    if (!error && colon < parts.authority.size()) {
+        const char *const end = parts.authority.data() + parts.authority.size();
+        const auto [last, portError] = std::from_chars(parts.authority.data() + colon + 1, end, port);
+        if (portError != std::errc() || last != end) {
+            return std::nullopt;
+        }
     }
-    const bool bodyExpected = m_request.method == "POST" || m_request.method == "PUT" || m_request.method == "PATCH";
-    if (bodyExpected || !m_request.body.empty()) {
-        curl_easy_setopt(m_easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(m_request.body.size()));
-        curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, m_request.body.data());
+    if (error) {
+        return std::nullopt;
     }
-    curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, m_request.method.c_str());
+    parts.server = {address, port};
+    return parts;
 }
 
-void HttpTransfer::setUpHeaders()
-{
-    for (const auto &field : m_request.headers.fields()) {
-        const std::string line = field.value.empty() ? field.name + ";" : field.name + ": " + field.value;
-        m_headerList = curl_slist_append(m_headerList, line.c_str());
-    }
-    if (!m_request.headers.find("Content-Type")) {
-        m_headerList = curl_slist_append(m_headerList, "Content-Type:");
-    }
-    // Without this, libcurl holds large bodies back until the peer has answered with 100 or a second has passed.
-    m_headerList = curl_slist_append(m_headerList, "Expect:");
-    curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, m_headerList);
-}
+HttpTransfer::HttpTransfer(const asio::any_io_executor &executor, ConnectionPool &pool, HttpClientRequest request,
+                           HttpClientHandlers handlers, std::function<void()> onOver)
+    : m_executor(executor), m_pool(pool), m_request(std::move(request)), m_handlers(std::move(handlers)),
+      m_onOver(std::move(onOver)), m_timer(executor)
+{ }
 
-void HttpTransfer::finish(CURLcode code, bool cancelled)
+core::Error HttpTransfer::errorOf(core::ErrorKind kind, const std::string &reason) const
 {
-    if (m_handlers.onDone) {
-        m_handlers.onDone(statusOf(code, cancelled));
-    }
+    return {kind, m_request.url + ": " + reason};
 }
 
-core::Status HttpTransfer::statusOf(CURLcode code, bool cancelled) const
+void HttpTransfer::start()
 {
-    if (cancelled) {
-        return core::Error{core::ErrorKind::Cancelled, "the request to " + m_request.url + " was cancelled"};
-    }
-    if (code == CURLE_OK && m_headDelivered) {
-        return core::Done();
-    }
-    if (code == CURLE_OK) {
-        // libcurl takes a connection that ends within the head for the end of an empty answer.
-        return core::Error{core::ErrorKind::BackendServerLost, m_request.url + ": the answer ended within its head"};
-    }
-    if (m_bodyTooLarge) {
-        return core::Error{core::ErrorKind::BackendServerFailed,
-                           m_request.url + " answered with more than " + std::to_string(m_request.maxBodyBytes)
-                               + " bytes"};
-    }
-    const std::string detail = m_request.url + ": " + curl_easy_strerror(code);
-    if (m_sendCount == 0) {
-        return core::Error{core::ErrorKind::PeerUnreachable, detail};
+    auto url = urlPartsOf(m_request.url);
+    if (!url) {
+        finish(errorOf(core::ErrorKind::PeerUnreachable, "not a URL with an IP number"));
+        return;
     }
-    if (code == CURLE_OPERATION_TIMEDOUT) {
-        return core::Error{core::ErrorKind::DeadlineExceeded, detail};
+    m_url = std::move(*url);
+    if (m_request.timeout.count() > 0) {
+        m_timer.expires_after(m_request.timeout);
+        m_timer.async_wait([self = shared_from_this()](const auto &error) {
+            if (!error) {
+                const auto kind
+                    = self->m_wasSent ? core::ErrorKind::DeadlineExceeded : core::ErrorKind::PeerUnreachable;
+                self->finish(self->errorOf(kind, "no whole answer in time"));
+            }
+        });
+    }
+    if (const auto kept = m_pool.take(m_url.server)) {
+        send(kept, true);
+        return;
     }
-    return core::Error{core::ErrorKind::BackendServerLost, detail};
+    sendOnNewConnection();
 }
 
-bool HttpTransfer::admitSend()
+void HttpTransfer::sendOnNewConnection()
 {
-    ++m_sendCount;
-    // libcurl sends a request again when a kept connection ends before the first byte of the answer, whatever the
-    // method. The peer may have run it by then.
-    return m_sendCount == 1 || isSafe(m_request.method);
+    m_connection = std::make_shared<ClientConnection>(m_executor, m_url.server);
+    m_connection->connect(m_request.connectTimeout, [self = shared_from_this()](const core::Status &status) {
+        if (self->m_isOver) {
+            return;
+        }
+        if (!core::isOk(status)) {
+            self->finish(core::errorOf(status));
+            return;
+        }
+        self->send(self->m_connection, false);
+    });
 }
 
-void HttpTransfer::readHeaderLine(std::string_view line)
+void HttpTransfer::send(const ClientConnectionPointer &connection, bool wasKept)
 {
-    if (m_headDelivered) {
-        return; // Trailers.
-    }
-    if (line.starts_with("HTTP/")) {
-        const std::string_view afterVersion = line.substr(std::min(line.size(), line.find(' ') + 1));
-        std::from_chars(afterVersion.data(), afterVersion.data() + afterVersion.size(), m_status);
-        m_headers = HttpHeaders();
-        return;
-    }
-    const std::string_view content = trimmed(line);
-    if (content.empty()) {
-        constexpr int firstFinalStatus = 200;
-        if (m_status < firstFinalStatus) {
+    m_connection = connection;
+    m_wasSent = true;
+    AnswerHandlers handlers;
+    const auto self = shared_from_this();
+    handlers.onHead = [self](const AnswerHead &head) {
+        self->m_hasHead = true;
+        if (!self->m_isOver && self->m_handlers.onHead) {
+            self->m_handlers.onHead(head.status, head.headers);
+        }
+    };
+    handlers.onBody = [self](std::string_view bytes) { self->takeBody(bytes); };
+    handlers.onEnd = [self](bool isReusable) {
+        if (self->m_isOver) {
             return;
         }
-        m_headDelivered = true;
-        if (m_handlers.onHead) {
-            m_handlers.onHead(m_status, m_headers);
+        if (isReusable) {
+            self->m_pool.keep(self->m_connection);
         }
-        return;
-    }
-    const auto colon = content.find(':');
-    if (colon != std::string_view::npos) {
-        m_headers.add(std::string(content.substr(0, colon)), std::string(trimmed(content.substr(colon + 1))));
-    }
+        self->m_connection.reset();
+        self->finish(core::Done());
+    };
+    handlers.onFailed = [self, wasKept](const core::Error &error) { self->failed(error, wasKept); };
+    HttpRequest request{m_request.method, m_url.target, m_request.headers, m_request.body};
+    connection->send(serializedRequest(request, m_url.authority), m_request.method == "HEAD", std::move(handlers));
 }
 
-bool HttpTransfer::readChunk(std::string_view bytes)
+void HttpTransfer::takeBody(std::string_view bytes)
 {
+    if (m_isOver) {
+        return;
+    }
     m_bodyBytes += bytes.size();
     if (m_request.maxBodyBytes != 0 && m_bodyBytes > m_request.maxBodyBytes) {
-        m_bodyTooLarge = true;
-        return false;
+        finish(errorOf(core::ErrorKind::BackendServerFailed,
+                       "answered with more than " + std::to_string(m_request.maxBodyBytes) + " bytes"));
+        return;
     }
     if (m_handlers.onChunk) {
         m_handlers.onChunk(bytes);
     }
-    return true;
 }
 
-int HttpTransfer::onBeforeSend(void *owner, char *, char *, int, int)
+void HttpTransfer::failed(const core::Error &error, bool wasKept)
 {
-    return static_cast<HttpTransfer *>(owner)->admitSend() ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+    if (m_isOver) {
+        return;
+    }
+    // A kept connection may have ended just before the request arrived; only safe requests may go out again.
+    if (wasKept && !m_hasHead && isSafe(m_request.method)) {
+        sendOnNewConnection();
+        return;
+    }
+    finish(errorOf(core::ErrorKind::BackendServerLost, error.detail));
 }
 
-std::size_t HttpTransfer::onHeaderLine(const char *bytes, std::size_t size, std::size_t count, void *owner)
+void HttpTransfer::cancel()
 {
-    static_cast<HttpTransfer *>(owner)->readHeaderLine({bytes, size * count});
-    return size * count;
+    finish(errorOf(core::ErrorKind::Cancelled, "the request was cancelled"));
 }
 
-std::size_t HttpTransfer::onBody(const char *bytes, std::size_t size, std::size_t count, void *owner)
+void HttpTransfer::finish(const core::Status &status)
 {
-    const bool taken = static_cast<HttpTransfer *>(owner)->readChunk({bytes, size * count});
-    return taken ? size * count : 0;
+    if (std::exchange(m_isOver, true)) {
+        return;
+    }
+    m_timer.cancel();
+    if (const auto connection = std::exchange(m_connection, nullptr)) {
+        connection->close();
+    }
+    if (m_handlers.onDone) {
+        m_handlers.onDone(status);
+    }
+    m_onOver();
 }
 
 } // namespace lycheelanding::http
--- a/packages/http/src/private/httptransfer.h
+++ b/packages/http/src/private/httptransfer.h
@@ -1,54 +1,57 @@
 #pragma once
 
+#include "lycheelanding/http/connectionpool.h"
 #include "lycheelanding/http/httpclient.h"
 
-#include <curl/curl.h>
+#include <asio/steady_timer.hpp>
 
-#include <cstddef>
-#include <string_view>
+#include <memory>
+#include <optional>
 
 namespace lycheelanding::http {
 
-/// One request of HttpClient with its libcurl handle. Used by the client's thread only, once it is enqueued.
-class HttpTransfer
+/// The server and the target that a URL names.
+struct UrlParts
 {
-public:
-    HttpTransfer(HttpTransferId id, HttpClientRequest request, HttpClientHandlers handlers);
-    ~HttpTransfer();
-    HttpTransfer(const HttpTransfer &) = delete;
-    HttpTransfer &operator=(const HttpTransfer &) = delete;
+    asio::ip::tcp::endpoint server;
+    /// As in the Host field.
+    std::string authority;
+    std::string target;
+};
+
+/// Nothing unless the URL is of the form http://IP[:PORT][/TARGET].
+std::optional<UrlParts> urlPartsOf(std::string_view url);
 
-    HttpTransferId id() const { return m_id; }
-    CURL *easy() const { return m_easy; }
+/// One request of HttpClient over a kept or new connection; used by the client's thread only.
+class HttpTransfer : public std::enable_shared_from_this<HttpTransfer>
+{
+public:
+    HttpTransfer(const asio::any_io_executor &executor, ConnectionPool &pool, HttpClientRequest request,
+                 HttpClientHandlers handlers, std::function<void()> onOver);
 
-    /// Calls `onDone`.
-    void finish(CURLcode code, bool cancelled);
+    void start();
+    void cancel();
 
 private:
-    void setUp();
-    void setUpMethod();
-    void setUpHeaders();
-    core::Status statusOf(CURLcode code, bool cancelled) const;
-    /// True while libcurl may send the request; false when it would be sent a second time although it must not.
-    bool admitSend();
-    void readHeaderLine(std::string_view line);
-    bool readChunk(std::string_view bytes);
-
-    static int onBeforeSend(void *owner, char *peerAddress, char *localAddress, int peerPort, int localPort);
-    static std::size_t onHeaderLine(const char *bytes, std::size_t size, std::size_t count, void *owner);
-    static std::size_t onBody(const char *bytes, std::size_t size, std::size_t count, void *owner);
-
-    const HttpTransferId m_id;
+    void sendOnNewConnection();
+    void send(const ClientConnectionPointer &connection, bool wasKept);
+    void takeBody(std::string_view bytes);
+    void failed(const core::Error &error, bool wasKept);
+    void finish(const core::Status &status);
+    core::Error errorOf(core::ErrorKind kind, const std::string &reason) const;
+
+    const asio::any_io_executor m_executor;
+    ConnectionPool &m_pool;
     const HttpClientRequest m_request;
     HttpClientHandlers m_handlers;
-    CURL *m_easy = nullptr;
-    curl_slist *m_headerList = nullptr;
-    int m_sendCount = 0;
-    int m_status = 0;
-    HttpHeaders m_headers;
-    bool m_headDelivered = false;
+    std::function<void()> m_onOver;
+    asio::steady_timer m_timer;
+    UrlParts m_url;
+    ClientConnectionPointer m_connection;
     std::size_t m_bodyBytes = 0;
-    bool m_bodyTooLarge = false;
+    bool m_wasSent = false;
+    bool m_hasHead = false;
+    bool m_isOver = false;
 };
 
 } // namespace lycheelanding::http
--- /dev/null
+++ b/packages/http/src/private/messageparser.h
@@ -0,0 +1,241 @@
+#pragma once
+
+#include "lycheelanding/http/httpmessages.h"
+
+#include <http_parser.h>
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace lycheelanding::http {
+
+enum class MessageType : std::uint8_t {
+    Request,
+    Response,
+};
+
+/// What a peer may send; larger messages are parser errors.
+struct ParserBounds
+{
+    std::size_t maxTargetBytes = 8UL * 1024;
+    std::size_t maxHeaderNameBytes = 256;
+    std::size_t maxHeaderValueBytes = 64UL * 1024;
+    std::size_t maxHeaderCount = 128;
+    /// 0 means without bound.
+    std::size_t maxBodyBytes = 0;
+};
+
+/// The head of a message that is being read.
+struct ParsedHead
+{
+    std::string method;
+    std::string target;
+    int status = 0;
+    HttpHeaders headers;
+};
+
+/// What takes the parts of a message. onHead() tells whether the message has a body that is to be read.
+template <typename Type>
+concept MessageSink = requires(Type &sink, ParsedHead head, std::string_view bytes)
+{
+    {
+        sink.onHead(std::move(head))
+        } -> std::same_as<bool>;
+    sink.onBody(bytes);
+    sink.onMessageEnd();
+};
+
+enum class ParseState : std::uint8_t {
+    /// All bytes were taken; more are needed.
+    NeedsMore,
+    /// A message has ended; bytes behind it were not taken.
+    MessageEnded,
+    /// The peer asks for another protocol.
+    Upgrade,
+    Failed,
+};
+
+/// Takes the bytes of a connection apart, one message after the other (http_parser).
+template <typename Sink>
+class MessageParser
+{
+public:
+    MessageParser(MessageType type, const ParserBounds &bounds, Sink &sink) : m_bounds(bounds), m_sink(sink)
+    {
+        http_parser_init(&m_parser, type == MessageType::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+        m_parser.data = this;
+    }
+    MessageParser(const MessageParser &) = delete;
+    MessageParser &operator=(const MessageParser &) = delete;
+
+    /// Takes bytes up to the end of one message and removes them from `bytes`.
+    ParseState parse(std::string_view &bytes)
+    {
+        m_hasEnded = false;
+        if (HTTP_PARSER_ERRNO(&m_parser) == HPE_PAUSED) {
+            http_parser_pause(&m_parser, 0);
+        }
+        const std::size_t taken = http_parser_execute(&m_parser, &settings(), bytes.data(), bytes.size());
+        m_hasStarted = m_hasStarted || taken > 0;
+        bytes.remove_prefix(taken);
+        if (m_parser.upgrade != 0) {
+            return ParseState::Upgrade;
+        }
+        const auto error = HTTP_PARSER_ERRNO(&m_parser);
+        if (m_hasEnded && (error == HPE_OK || error == HPE_PAUSED)) {
+            m_hasStarted = false;
+            return ParseState::MessageEnded;
+        }
+        return error == HPE_OK ? ParseState::NeedsMore : ParseState::Failed;
+    }
+
+    /// The peer has ended the connection: ends a message whose length is given by that; true when one has ended.
+    bool parseEnd()
+    {
+        m_hasEnded = false;
+        if (HTTP_PARSER_ERRNO(&m_parser) == HPE_PAUSED) {
+            http_parser_pause(&m_parser, 0);
+        }
+        http_parser_execute(&m_parser, &settings(), nullptr, 0);
+        return m_hasEnded;
+    }
+
+    /// Bytes of a message were taken that has not ended.
+    bool isInMessage() const { return m_hasStarted; }
+    bool isKeepAlive() const { return http_should_keep_alive(&m_parser) != 0; }
+    bool isHttp10() const { return m_parser.http_major == 1 && m_parser.http_minor == 0; }
+    std::string_view errorName() const { return http_errno_name(HTTP_PARSER_ERRNO(&m_parser)); }
+
+private:
+    static MessageParser &self(http_parser *parser) { return *static_cast<MessageParser *>(parser->data); }
+
+    static const http_parser_settings &settings()
+    {
+        static const http_parser_settings callbacks = [] {
+            http_parser_settings result;
+            http_parser_settings_init(&result);
+            result.on_message_begin = [](http_parser *parser) { return self(parser).begin(); };
+            result.on_url = [](http_parser *parser, const char *at, std::size_t size) {
+                return self(parser).addTarget({at, size});
+            };
+            result.on_header_field = [](http_parser *parser, const char *at, std::size_t size) {
+                return self(parser).addName({at, size});
+            };
+            result.on_header_value = [](http_parser *parser, const char *at, std::size_t size) {
+                return self(parser).addValue({at, size});
+            };
+            result.on_headers_complete = [](http_parser *parser) { return self(parser).endHead(); };
+            result.on_body = [](http_parser *parser, const char *at, std::size_t size) {
+                return self(parser).addBody({at, size});
+            };
+            result.on_message_complete = [](http_parser *parser) { return self(parser).endMessage(); };
+            return result;
+        }();
+        return callbacks;
+    }
+
+    int begin()
+    {
+        m_head = ParsedHead();
+        m_name.clear();
+        m_value.clear();
+        m_headerCount = 0;
+        m_bodyBytes = 0;
+        m_isInValue = false;
+        m_isHeadEnded = false;
+        return 0;
+    }
+
+    int addTarget(std::string_view bytes)
+    {
+        m_head.target.append(bytes);
+        return m_head.target.size() > m_bounds.maxTargetBytes ? 1 : 0;
+    }
+
+    int addName(std::string_view bytes)
+    {
+        if (m_isHeadEnded) {
+            return 0; // Trailers.
+        }
+        if (m_isInValue) {
+            endField();
+        }
+        m_name.append(bytes);
+        return m_name.size() > m_bounds.maxHeaderNameBytes || m_headerCount >= m_bounds.maxHeaderCount ? 1 : 0;
+    }
+
+    int addValue(std::string_view bytes)
+    {
+        if (m_isHeadEnded) {
+            return 0;
+        }
+        m_isInValue = true;
+        m_value.append(bytes);
+        return m_value.size() > m_bounds.maxHeaderValueBytes ? 1 : 0;
+    }
+
+    void endField()
+    {
+        m_head.headers.add(std::move(m_name), std::move(m_value));
+        m_name.clear();
+        m_value.clear();
+        m_isInValue = false;
+        ++m_headerCount;
+    }
+
+    int endHead()
+    {
+        constexpr int noBody = 1;
+        if (m_isInValue || !m_name.empty()) {
+            endField();
+        }
+        m_isHeadEnded = true;
+        const bool isRequest = m_parser.type == HTTP_REQUEST;
+        if (isRequest) {
+            m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
+        }
+        m_head.status = isRequest ? 0 : static_cast<int>(m_parser.status_code);
+        const bool isLengthKnown = m_parser.content_length != UINT64_MAX;
+        if (m_bounds.maxBodyBytes != 0 && isLengthKnown && m_parser.content_length > m_bounds.maxBodyBytes) {
+            return -1;
+        }
+        return m_sink.onHead(std::move(m_head)) ? 0 : noBody;
+    }
+
+    int addBody(std::string_view bytes)
+    {
+        m_bodyBytes += bytes.size();
+        if (m_bounds.maxBodyBytes != 0 && m_bodyBytes > m_bounds.maxBodyBytes) {
+            return 1;
+        }
+        m_sink.onBody(bytes);
+        return 0;
+    }
+
+    int endMessage()
+    {
+        m_hasEnded = true;
+        m_sink.onMessageEnd();
+        http_parser_pause(&m_parser, 1);
+        return 0;
+    }
+
+    const ParserBounds m_bounds;
+    Sink &m_sink;
+    http_parser m_parser{};
+    ParsedHead m_head;
+    std::string m_name;
+    std::string m_value;
+    std::size_t m_headerCount = 0;
+    std::size_t m_bodyBytes = 0;
+    bool m_isInValue = false;
+    bool m_isHeadEnded = false;
+    bool m_hasEnded = false;
+    bool m_hasStarted = false;
+};
+
+} // namespace lycheelanding::http
--- a/packages/http/src/private/reasonphrases.cpp
+++ b/packages/http/src/private/reasonphrases.cpp
@@ -13,7 +13,7 @@
     std::string_view phrase;
 };
 
-constexpr std::array<ReasonPhrase, 24> reasonPhrases{{
+constexpr std::array<ReasonPhrase, 26> reasonPhrases{{
     {200, "OK"},
     {201, "Created"},
     {202, "Accepted"},
@@ -24,10 +24,12 @@
     {403, "Forbidden"},
     {404, "Not Found"},
     {405, "Method Not Allowed"},
+    {408, "Request Timeout"},
     {409, "Conflict"},
     {412, "Precondition Failed"},
     {413, "Content Too Large"},
     {415, "Unsupported Media Type"},
+    {421, "Misdirected Request"},
     {422, "Unprocessable Content"},
     {428, "Precondition Required"},
     {429, "Too Many Requests"},
--- /dev/null
+++ b/packages/http/src/private/serverconnection.cpp
@@ -0,0 +1,485 @@
+#include "private/serverconnection.h"
+
+#include "private/headertext.h"
+#include "private/parserfaults.h"
+
+#include "lycheelanding/core/errorkind.h"
+
+#include <asio/bind_executor.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace lycheelanding::http {
+
+namespace {
+
+/// Requests that are read while an answer is in progress: enough to see that the caller has sent something malformed.
+constexpr std::size_t mostRequestsAhead = 1;
+/// Bytes kept behind the requests taken so far before reading pauses.
+constexpr std::size_t mostPendingBytes = 64UL * 1024;
+/// How long a refused caller may go on sending before the connection is closed: a close with unread bytes would reset
+/// the connection and lose the refusal.
+constexpr std::chrono::seconds endingTimeout{1};
+
+ParserBounds boundsOf(const HttpServerSettings &settings)
+{
+    ParserBounds bounds;
+    bounds.maxHeaderValueBytes = settings.maxHeaderValueBytes;
+    bounds.maxBodyBytes = settings.maxBodyBytes;
+    return bounds;
+}
+
+std::string chunkOf(std::string_view bytes)
+{
+    std::array<char, 16> size{};
+    constexpr int hexadecimal = 16;
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), hexadecimal).ptr;
+    std::string chunk(size.data(), end);
+    chunk.reserve(chunk.size() + bytes.size() + 4);
+    return chunk.append("\r\n").append(bytes).append("\r\n");
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(asio::ip::tcp::socket socket, ConnectionsPointer connections)
+    : m_socket(std::move(socket)), m_strand(connections->context().get_executor()),
+      m_connections(std::move(connections)), m_parser(MessageType::Request, boundsOf(m_connections->settings()), *this)
+{ }
+
+ServerConnection::~ServerConnection()
+{
+    m_connections->remove(this);
+}
+
+void ServerConnection::start()
+{
+    asio::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    post([self = shared_from_this()] { self->read(); });
+}
+
+bool ServerConnection::isCurrent(const ServerAnswerPointer &answer) const
+{
+    return !m_isClosed && answer == m_current && !answer->hasEnded;
+}
+
+void ServerConnection::read()
+{
+    if (m_isReading || m_isClosed || m_pending.size() >= mostPendingBytes) {
+        return;
+    }
+    m_isReading = true;
+    m_socket.async_read_some(asio::buffer(m_buffer),
+                             asio::bind_executor(m_strand, [self = shared_from_this()](const auto &error, auto size) {
+                                 self->m_isReading = false;
+                                 self->onRead(error, size);
+                             }));
+}
+
+void ServerConnection::onRead(const asio::error_code &error, std::size_t size)
+{
+    if (m_isClosed) {
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    if (m_isEnding) {
+        read();
+        return;
+    }
+    if (!m_parser.isInMessage()) {
+        m_lastActivity = std::chrono::steady_clock::now();
+    }
+    m_pending.append(m_buffer.data(), size);
+    parsePending();
+    read();
+}
+
+void ServerConnection::parsePending()
+{
+    std::string_view rest = m_pending;
+    while (!rest.empty() && !m_isEnding && m_requests.size() < mostRequestsAhead) {
+        const auto state = m_parser.parse(rest);
+        if (state == ParseState::MessageEnded) {
+            startNextRequest();
+        } else if (state == ParseState::Upgrade) {
+            refuse(core::ErrorKind::ProtocolMismatch);
+        } else if (state == ParseState::Failed) {
+            refuse(parserFaultKind(m_parser.errorName()));
+        }
+    }
+    m_pending.erase(0, m_pending.size() - rest.size());
+}
+
+bool ServerConnection::onHead(ParsedHead head)
+{
+    m_incoming.method = std::move(head.method);
+    m_incoming.target = std::move(head.target);
+    m_incoming.headers = std::move(head.headers);
+    m_incoming.body.clear();
+    return true;
+}
+
+void ServerConnection::onBody(std::string_view bytes)
+{
+    m_incoming.body.append(bytes);
+}
+
+void ServerConnection::onMessageEnd()
+{
+    auto answer = std::make_shared<ServerAnswer>();
+    answer->isHead = m_incoming.method == "HEAD";
+    answer->isHttp10 = m_parser.isHttp10();
+    answer->isKeepAlive = m_parser.isKeepAlive();
+    m_requests.emplace_back(std::move(m_incoming), std::move(answer));
+    m_incoming = HttpRequest();
+}
+
+void ServerConnection::refuse(core::ErrorKind kind)
+{
+    // A refusal in the middle of another request's answer would become part of that answer.
+    if (m_current) {
+        close();
+        return;
+    }
+    constexpr int notImplemented = 501;
+    const auto &row = core::answerOf(kind);
+    const int status = kind == core::ErrorKind::ProtocolMismatch ? notImplemented : row.httpStatus;
+    const std::string body = "{\"kind\":\"" + std::string(row.name) + "\",\"ran\":\"no\"}";
+    std::string text = statusLine(status);
+    appendHeaderLine(text, "Content-Type", "application/json");
+    appendHeaderLine(text, "Connection", "close");
+    appendHeaderLine(text, "Content-Length", std::to_string(body.size()));
+    text.append("\r\n").append(body);
+    m_isEnding = true;
+    m_lastActivity = std::chrono::steady_clock::now();
+    send({std::move(text), nullptr, 0, false});
+}
+
+void ServerConnection::startNextRequest()
+{
+    if (m_current || m_requests.empty() || m_isClosed) {
+        return;
+    }
+    auto [request, answer] = std::move(m_requests.front());
+    m_requests.pop_front();
+    m_current = answer;
+    m_connections->exchangeOpened();
+    auto exchange = std::make_shared<HttpExchange>(
+        std::make_unique<HttpExchange::Private>(std::move(request), std::move(answer), shared_from_this()));
+    // Handlers run outside the strand, so that their calls keep the order in which they are made.
+    asio::post(m_connections->context(),
+               [connections = m_connections, exchange = std::move(exchange)] { connections->handler()(exchange); });
+}
+
+void ServerConnection::begin(const ServerAnswerPointer &answer, int status, const HttpHeaders &headers,
+                             std::optional<std::uint64_t> bodyBytes)
+{
+    if (!isCurrent(answer) || answer->hasBegun) {
+        return;
+    }
+    answer->hasBegun = true;
+    answer->isKeepAlive = answer->isKeepAlive && !m_connections->isDraining();
+    std::string text = statusLine(status);
+    appendHeaderLines(text, headers);
+    if (bodyBytes) {
+        answer->framing = ServerAnswer::Framing::Sized;
+        answer->owedBytes = *bodyBytes;
+        appendHeaderLine(text, "Content-Length", std::to_string(*bodyBytes));
+    } else if (answer->isHttp10) {
+        answer->framing = ServerAnswer::Framing::UntilClose;
+        answer->isKeepAlive = false;
+    } else {
+        appendHeaderLine(text, "Transfer-Encoding", "chunked");
+    }
+    if (!answer->isKeepAlive) {
+        appendHeaderLine(text, "Connection", "close");
+    }
+    text.append("\r\n");
+    send({std::move(text), answer, 0, false});
+}
+
+void ServerConnection::respond(const ServerAnswerPointer &answer, HttpResponse response)
+{
+    if (!isCurrent(answer) || answer->hasBegun) {
+        return;
+    }
+    begin(answer, response.status, response.headers, response.body.size());
+    write(answer, std::move(response.body));
+    finish(answer);
+}
+
+void ServerConnection::write(const ServerAnswerPointer &answer, std::string bytes)
+{
+    const std::size_t size = bytes.size();
+    const bool fits = answer->framing != ServerAnswer::Framing::Sized || size <= answer->owedBytes;
+    if (!isCurrent(answer) || !answer->hasBegun || size == 0 || answer->isHead || !fits) {
+        answer->unsentBytes -= size;
+        return;
+    }
+    if (answer->framing == ServerAnswer::Framing::Sized) {
+        answer->owedBytes -= size;
+    }
+    const bool isChunked = answer->framing == ServerAnswer::Framing::Chunked;
+    send({isChunked ? chunkOf(bytes) : std::move(bytes), answer, size, false});
+}
+
+void ServerConnection::finish(const ServerAnswerPointer &answer)
+{
+    if (!isCurrent(answer) || !answer->hasBegun) {
+        return;
+    }
+    if (answer->framing == ServerAnswer::Framing::Sized && answer->owedBytes > 0 && !answer->isHead) {
+        abort(answer);
+        return;
+    }
+    answer->hasEnded = true;
+    const bool needsLastChunk = answer->framing == ServerAnswer::Framing::Chunked && !answer->isHead;
+    send({needsLastChunk ? "0\r\n\r\n" : "", answer, 0, true});
+}
+
+void ServerConnection::abort(const ServerAnswerPointer &answer)
+{
+    if (!isCurrent(answer)) {
+        return;
+    }
+    answer->hasEnded = true;
+    answer->isKeepAlive = false;
+    // What was written before still reaches the caller; without the last part it sees a broken answer.
+    send({"", answer, 0, true});
+}
+
+void ServerConnection::keepGoneHandler(const ServerAnswerPointer &answer, std::function<void()> handler)
+{
+    if (answer->hasEnded) {
+        return;
+    }
+    if (answer->isCallerGone) {
+        asio::post(m_connections->context(), std::move(handler));
+        return;
+    }
+    answer->onCallerGone = std::move(handler);
+}
+
+void ServerConnection::send(Output output)
+{
+    // Parts that are handed over together, or wait behind a write, go out together.
+    const std::size_t firstWaiting = m_isWriting ? 1 : 0;
+    if (m_output.size() > firstWaiting && !m_output.back().endsAnswer) {
+        Output &last = m_output.back();
+        last.bytes.append(output.bytes);
+        last.bodyBytes += output.bodyBytes;
+        last.endsAnswer = output.endsAnswer;
+    } else {
+        m_output.push_back(std::move(output));
+    }
+    if (!m_isWriting && !std::exchange(m_isFlushPosted, true)) {
+        post([self = shared_from_this()] {
+            self->m_isFlushPosted = false;
+            self->writeNext();
+        });
+    }
+}
+
+void ServerConnection::writeNext()
+{
+    if (m_isWriting || m_isClosed) {
+        return;
+    }
+    if (m_output.empty()) {
+        if (m_isEnding) {
+            closeAfterOutput();
+        }
+        return;
+    }
+    m_isWriting = true;
+    m_writeStart = std::chrono::steady_clock::now();
+    asio::async_write(m_socket, asio::buffer(m_output.front().bytes),
+                      asio::bind_executor(m_strand, [self = shared_from_this()](const auto &error, auto) {
+                          self->m_isWriting = false;
+                          self->onWritten(error);
+                      }));
+}
+
+void ServerConnection::onWritten(const asio::error_code &error)
+{
+    if (m_isClosed) {
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    const Output done = std::move(m_output.front());
+    m_output.pop_front();
+    if (done.answer) {
+        done.answer->unsentBytes -= done.bodyBytes;
+    }
+    if (done.endsAnswer) {
+        endAnswer(done.answer);
+    }
+    writeNext();
+}
+
+void ServerConnection::endAnswer(const ServerAnswerPointer &answer)
+{
+    m_current.reset();
+    answer->onCallerGone = nullptr;
+    m_connections->exchangeClosed();
+    m_lastActivity = std::chrono::steady_clock::now();
+    if (!answer->isKeepAlive) {
+        m_isEnding = true;
+        return;
+    }
+    startNextRequest();
+    parsePending();
+    read();
+}
+
+void ServerConnection::closeAfterOutput()
+{
+    asio::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_pending.clear();
+    read();
+}
+
+void ServerConnection::loseCaller()
+{
+    const auto answer = std::exchange(m_current, nullptr);
+    if (!answer) {
+        return;
+    }
+    answer->isCallerGone = true;
+    m_connections->exchangeClosed();
+    if (auto handler = std::exchange(answer->onCallerGone, nullptr); handler && !answer->hasEnded) {
+        asio::post(m_connections->context(), std::move(handler));
+    }
+}
+
+void ServerConnection::close()
+{
+    if (std::exchange(m_isClosed, true)) {
+        return;
+    }
+    asio::error_code ignored;
+    m_socket.close(ignored);
+    m_connections->remove(this);
+    loseCaller();
+    m_requests.clear();
+}
+
+void ServerConnection::closeIfIdle()
+{
+    if (!m_current && m_requests.empty() && m_output.empty() && !m_parser.isInMessage() && m_pending.empty()) {
+        close();
+    }
+}
+
+void ServerConnection::checkTimeouts()
+{
+    if (m_isClosed) {
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (m_isWriting) {
+        if (now - m_writeStart > m_connections->settings().writeTimeout) {
+            close();
+        }
+        return;
+    }
+    if (m_current) {
+        return;
+    }
+    const bool isReadingRequest = m_parser.isInMessage();
+    const auto limit = m_isEnding ? std::chrono::milliseconds(endingTimeout)
+                                  : (isReadingRequest ? m_connections->readTimeout() : m_connections->idleTimeout());
+    if (now - m_lastActivity > limit) {
+        close();
+    }
+}
+
+HttpExchange::HttpExchange(std::unique_ptr<Private> implementation) : m_d(std::move(implementation)) { }
+
+HttpExchange::~HttpExchange()
+{
+    const auto &connection = m_d->connection();
+    connection->post([connection, answer = m_d->answer()] {
+        if (answer->hasBegun) {
+            connection->abort(answer);
+            return;
+        }
+        connection->respond(answer, jsonResponse(500, R"({"kind":"internal"})"));
+    });
+}
+
+void HttpExchange::respond(HttpResponse response)
+{
+    const auto &connection = m_d->connection();
+    m_d->answer()->unsentBytes += response.body.size();
+    connection->post([connection, answer = m_d->answer(), response = std::move(response)]() mutable {
+        connection->respond(answer, std::move(response));
+    });
+}
+
+void HttpExchange::startStream(int status, const HttpHeaders &headers)
+{
+    const auto &connection = m_d->connection();
+    connection->post([connection, answer = m_d->answer(), status, headers] {
+        connection->begin(answer, status, headers, std::nullopt);
+    });
+}
+
+void HttpExchange::startSized(int status, const HttpHeaders &headers, std::uint64_t bodyBytes)
+{
+    const auto &connection = m_d->connection();
+    connection->post([connection, answer = m_d->answer(), status, headers, bodyBytes] {
+        connection->begin(answer, status, headers, bodyBytes);
+    });
+}
+
+void HttpExchange::sendChunk(std::string bytes)
+{
+    const auto &connection = m_d->connection();
+    m_d->answer()->unsentBytes += bytes.size();
+    connection->post([connection, answer = m_d->answer(), bytes = std::move(bytes)]() mutable {
+        connection->write(answer, std::move(bytes));
+    });
+}
+
+void HttpExchange::finish()
+{
+    const auto &connection = m_d->connection();
+    connection->post([connection, answer = m_d->answer()] { connection->finish(answer); });
+}
+
+void HttpExchange::abort()
+{
+    const auto &connection = m_d->connection();
+    connection->post([connection, answer = m_d->answer()] { connection->abort(answer); });
+}
+
+void HttpExchange::onCallerGone(std::function<void()> handler)
+{
+    const auto &connection = m_d->connection();
+    connection->post([connection, answer = m_d->answer(), handler = std::move(handler)]() mutable {
+        connection->keepGoneHandler(answer, std::move(handler));
+    });
+}
+
+const HttpRequest &HttpExchange::request() const
+{
+    return m_d->request();
+}
+
+std::size_t HttpExchange::unsentBytes() const
+{
+    return m_d->answer()->unsentBytes;
+}
+
+} // namespace lycheelanding::http
