--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -17,7 +17,7 @@
   endif()
 
   file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-  if(tests)
+  if(LYCHEELANDING_TESTS AND tests)
     add_executable(${name}-tests ${tests})
     target_include_directories(${name}-tests PRIVATE src tests)
     target_link_libraries(${name}-tests PRIVATE ${target} ${ARG_TEST_DEPENDS} rapidcheck GTest::gtest GTest::gtest_main)
--- a/packages/daemon/app/main.cpp
+++ b/packages/daemon/app/main.cpp
@@ -3,6 +3,8 @@
 #include "settings/daemonsettings.h"
 #include "side/sidedaemon.h"
 
+#include "platform/entryprogram.h"
+
 #include "lycheelanding/core/version.h"
 
 #include <cxxopts.hpp>
@@ -50,6 +52,7 @@
         ("role", "entry: serves callers on an entry VM; side: runs beside one backend server", //
          cxxopts::value<std::string>()) //
         ("settings", "JSON settings file of the process", cxxopts::value<std::string>(), "FILE") //
+        ("platform", "run on the users' platform: its settings file stands in the environment") //
         ("check", "check the settings and exit: 0 when they are valid, 2 when they are not") //
         ("version", "print the version and exit") //
         ("h,help", "print this help and exit");
@@ -69,8 +72,12 @@
         std::cout << "lycheelandingd " << core::versionText << std::endl;
         return EXIT_SUCCESS;
     }
+    const auto platformRole = arguments.count("platform") > 0 && arguments.count("role") > 0;
+    if (platformRole && arguments["role"].as<std::string>() == "entry") {
+        return platform::runEntry();
+    }
     if (arguments.count("role") == 0 || arguments.count("settings") == 0) {
-        return reportFault("usage: lycheelandingd entry|side --settings FILE [--check]");
+        return reportFault("usage: lycheelandingd entry|side --settings FILE [--check] or entry|side --platform");
     }
     const auto role = arguments["role"].as<std::string>();
     const auto file = arguments["settings"].as<std::string>();
--- /dev/null
+++ b/packages/decisions/tests/distribution/prefixfollowertest.cpp
@@ -0,0 +1,254 @@
+#include "lycheelanding/decisions/distribution/prefixfollower.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <optional>
+
+namespace lycheelanding::decisions::distribution {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const core::TimePoint start = core::TimePoint(1h);
+
+template <typename Action>
+std::optional<Action> actionIn(const FollowerActions &actions)
+{
+    for (const auto &action : actions) {
+        if (const auto *found = std::get_if<Action>(&action)) {
+            return *found;
+        }
+    }
+    return std::nullopt;
+}
+
+/// A store that keeps its whole history unless told to drop it.
+class FakeStore
+{
+public:
+    void write(const std::string &key, const std::string &value) { change(StoreEntry{key, value, ++m_revision}); }
+    void remove(const std::string &key)
+    {
+        if (m_entries.contains(key)) {
+            change(RemovedEntry{key, ++m_revision});
+        }
+    }
+    void dropHistory()
+    {
+        m_history.clear();
+        m_historyStart = m_revision;
+    }
+
+    EntryPage page(const std::string &afterKey, std::size_t size) const
+    {
+        EntryPage page;
+        page.atRevision = m_revision;
+        for (auto at = m_entries.upper_bound(afterKey); at != m_entries.end(); ++at) {
+            if (page.entries.size() == size) {
+                page.hasMore = true;
+                break;
+            }
+            page.entries.push_back(at->second);
+        }
+        return page;
+    }
+
+    std::optional<WatchEvents> eventsAfter(std::uint64_t revision) const
+    {
+        if (revision < m_historyStart) {
+            return std::nullopt;
+        }
+        WatchEvents events;
+        events.atRevision = m_revision;
+        for (const auto &event : m_history) {
+            const auto at = std::visit([](const auto &each) { return each.revision; }, event);
+            if (at > revision) {
+                events.events.push_back(event);
+            }
+        }
+        return events;
+    }
+
+    const std::map<std::string, StoreEntry> &entries() const { return m_entries; }
+
+private:
+    void change(const std::variant<StoreEntry, RemovedEntry> &event)
+    {
+        m_history.push_back(event);
+        if (const auto *written = std::get_if<StoreEntry>(&event)) {
+            m_entries[written->key] = *written;
+        } else {
+            m_entries.erase(std::get<RemovedEntry>(event).key);
+        }
+    }
+
+    std::uint64_t m_revision = 7;
+    std::uint64_t m_historyStart = 0;
+    std::map<std::string, StoreEntry> m_entries;
+    std::deque<std::variant<StoreEntry, RemovedEntry>> m_history;
+};
+
+} // namespace
+
+TEST(PrefixFollower, readsAllPagesAndWatchesFromTheFirst)
+{
+    PrefixFollower follower({});
+    auto page = actionIn<ReadPage>(follower.start(start));
+    ASSERT_TRUE(page);
+    auto actions = follower.pageRead(page->call, {{{"a", "1", 3}}, true, 10}, start);
+    page = actionIn<ReadPage>(actions);
+    ASSERT_TRUE(page);
+    EXPECT_EQ(page->afterKey, "a");
+    actions = follower.pageRead(page->call, {{{"b", "2", 12}}, false, 14}, start);
+    EXPECT_EQ(actionIn<EntriesListed>(actions)->entries.size(), 2U);
+    const auto watch = actionIn<WatchPrefix>(actions);
+    EXPECT_EQ(watch->afterRevision, 10U);
+    // The watch tells of "b" again, which the second page has shown already.
+    actions = follower.watchEnded(watch->call, {{StoreEntry{"b", "2", 12}, StoreEntry{"a", "3", 15}}, 15}, start);
+    EXPECT_EQ(actionIn<EntryWritten>(actions)->entry, (StoreEntry{"a", "3", 15}));
+    EXPECT_EQ(actionIn<WatchPrefix>(actions)->afterRevision, 15U);
+}
+
+TEST(PrefixFollower, droppedHistoryIsReadAgain)
+{
+    PrefixFollower follower({});
+    auto page = actionIn<ReadPage>(follower.start(start));
+    auto watch = actionIn<WatchPrefix>(follower.pageRead(page->call, {{}, false, 10}, start));
+    const auto actions = follower.callFailed(watch->call, StoreCallFailure::HistoryGone, start);
+    EXPECT_TRUE(actionIn<ReadPage>(actions));
+    EXPECT_FALSE(actionIn<ContactLost>(actions));
+}
+
+TEST(PrefixFollower, silentWatchCountsAsLostAndIsReadAgain)
+{
+    const FollowerSettings settings;
+    PrefixFollower follower(settings);
+    const auto page = actionIn<ReadPage>(follower.start(start));
+    const auto watch = actionIn<WatchPrefix>(follower.pageRead(page->call, {{}, false, 10}, start));
+    const auto end = start + settings.watchTime + settings.watchSlack;
+    EXPECT_TRUE(follower.tick(end - 1ms).empty());
+    const auto lost = follower.tick(end);
+    EXPECT_EQ(actionIn<AbandonCall>(lost)->call, watch->call);
+    EXPECT_TRUE(actionIn<ContactLost>(lost));
+    const auto again = actionIn<ReadPage>(follower.tick(end + settings.longestPause));
+    ASSERT_TRUE(again);
+    EXPECT_TRUE(actionIn<ContactRegained>(follower.pageRead(again->call, {{}, false, 11}, end)));
+}
+
+TEST(PrefixFollower, pausesGrowWhileTheStoreIsAway)
+{
+    const FollowerSettings settings;
+    PrefixFollower follower(settings);
+    auto page = actionIn<ReadPage>(follower.start(start));
+    auto now = start;
+    int calls = 0;
+    while (now < start + 20s) {
+        if (page) {
+            ++calls;
+            follower.callFailed(page->call, StoreCallFailure::Unavailable, now);
+        }
+        now += 10ms;
+        page = actionIn<ReadPage>(follower.tick(now));
+    }
+    EXPECT_LE(calls, 50);
+    EXPECT_GE(calls, 20);
+}
+
+TEST(PrefixFollower, suspendedProcessReadsAnew)
+{
+    PrefixFollower follower({});
+    const auto page = actionIn<ReadPage>(follower.start(start));
+    const auto watch = actionIn<WatchPrefix>(follower.pageRead(page->call, {{}, false, 10}, start));
+    const auto actions = follower.resumed(start + 1s);
+    EXPECT_EQ(actionIn<AbandonCall>(actions)->call, watch->call);
+    EXPECT_TRUE(actionIn<ReadPage>(actions));
+    EXPECT_TRUE(follower.watchEnded(watch->call, {{StoreEntry{"a", "1", 11}}, 11}, start + 1s).empty());
+}
+
+/// With lost calls, late answers, dropped history and changes between pages, the view of the follower never goes back
+/// on a key, and equals the store's content once calls succeed and nothing changes.
+RC_GTEST_PROP(PrefixFollowerFuzz, endsWithTheStoresContentAndNeverGoesBack, ())
+{
+    PrefixFollower follower({});
+    FakeStore store;
+    std::map<std::string, StoreEntry> view;
+    std::map<std::string, std::uint64_t> newest;
+    std::optional<ReadPage> page;
+    std::optional<WatchPrefix> watch;
+    core::TimePoint now = start;
+    const auto apply = [&](const FollowerActions &actions) {
+        for (const auto &action : actions) {
+            if (const auto *read = std::get_if<ReadPage>(&action)) {
+                page = *read;
+                watch.reset();
+            } else if (const auto *wait = std::get_if<WatchPrefix>(&action)) {
+                watch = *wait;
+                page.reset();
+            } else if (const auto *listed = std::get_if<EntriesListed>(&action)) {
+                view.clear();
+                for (const auto &entry : listed->entries) {
+                    RC_ASSERT(entry.revision >= newest[entry.key]);
+                    newest[entry.key] = entry.revision;
+                    view[entry.key] = entry;
+                }
+            } else if (const auto *written = std::get_if<EntryWritten>(&action)) {
+                RC_ASSERT(written->entry.revision > newest[written->entry.key]);
+                newest[written->entry.key] = written->entry.revision;
+                view[written->entry.key] = written->entry;
+            } else if (const auto *removed = std::get_if<EntryRemoved>(&action)) {
+                view.erase(removed->key);
+            }
+        }
+    };
+    const auto answer = [&] {
+        if (page) {
+            const auto call = *std::exchange(page, std::nullopt);
+            apply(follower.pageRead(call.call, store.page(call.afterKey, 2), now));
+        } else if (watch) {
+            const auto call = *std::exchange(watch, std::nullopt);
+            const auto events = store.eventsAfter(call.afterRevision);
+            apply(events ? follower.watchEnded(call.call, *events, now)
+                         : follower.callFailed(call.call, StoreCallFailure::HistoryGone, now));
+        }
+    };
+    apply(follower.start(now));
+    const int steps = *rc::gen::inRange(1, 120);
+    for (int step = 0; step < steps; ++step) {
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 300));
+        const std::string key(1, static_cast<char>('a' + *rc::gen::inRange(0, 6)));
+        switch (*rc::gen::inRange(0, 8)) {
+        case 0:
+        case 1:
+            store.write(key, std::to_string(step));
+            break;
+        case 2:
+            store.remove(key);
+            break;
+        case 3:
+            store.dropHistory();
+            break;
+        case 4:
+            if (page || watch) {
+                apply(follower.callFailed(page ? page->call : watch->call, StoreCallFailure::Unavailable, now));
+            }
+            break;
+        case 5:
+            apply(follower.resumed(now));
+            break;
+        default:
+            answer();
+        }
+        apply(follower.tick(now));
+    }
+    for (int round = 0; round < 40; ++round) {
+        now += 500ms;
+        apply(follower.tick(now));
+        answer();
+    }
+    RC_ASSERT(view == store.entries());
+}
+
+} // namespace lycheelanding::decisions::distribution
--- /dev/null
+++ b/packages/decisions/tests/membership/backenddirectorytest.cpp
@@ -0,0 +1,155 @@
+#include "lycheelanding/decisions/membership/backenddirectory.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lycheelanding::decisions::membership {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+RegisteredBackend backendNamed(const std::string &id)
+{
+    RegisteredBackend backend;
+    backend.id = BackendId(id);
+    backend.service = core::ServiceId("drafts");
+    backend.address = "10.0.0.1:8000";
+    return backend;
+}
+
+RegisteredBackend drainingNamed(const std::string &id)
+{
+    auto backend = backendNamed(id);
+    backend.isDraining = true;
+    return backend;
+}
+
+bool isUnusable(const DirectoryChanges &changes, const std::string &id, DirectoryReason reason)
+{
+    if (changes.size() != 1) {
+        return false;
+    }
+    const auto *gone = std::get_if<BackendUnusable>(&changes.front());
+    return gone != nullptr && gone->id == BackendId(id) && gone->reason == reason;
+}
+
+const core::TimePoint start = core::TimePoint(1h);
+
+} // namespace
+
+TEST(BackendDirectory, usesWhatIsRegisteredUntilItDrainsOrIsRemoved)
+{
+    BackendDirectory directory({});
+    EXPECT_EQ(directory.listed({backendNamed("a"), backendNamed("b"), drainingNamed("c")}, start).size(), 2U);
+    EXPECT_TRUE(isUnusable(directory.registered(drainingNamed("a"), start), "a", DirectoryReason::Draining));
+    EXPECT_TRUE(isUnusable(directory.removed(BackendId("b"), start), "b", DirectoryReason::Removed));
+    EXPECT_EQ(directory.usableCount(), 0U);
+}
+
+TEST(BackendDirectory, entryOfAnotherWriterNamesNoBackendAndTheOthersHold)
+{
+    BackendDirectory directory({});
+    directory.listed({backendNamed("a"), backendNamed("b")}, start);
+    EXPECT_TRUE(isUnusable(directory.unreadable(BackendId("a")), "a", DirectoryReason::Unreadable));
+    EXPECT_EQ(directory.usableCount(), 1U);
+}
+
+TEST(BackendDirectory, lapsedRegistrationMayReturnAfterAnOutage)
+{
+    BackendDirectory directory({});
+    directory.listed({backendNamed("a"), backendNamed("b")}, start);
+    directory.registryLost();
+    directory.registryRegained(start + 5s);
+    EXPECT_TRUE(directory.listed({}, start + 5s).empty());
+    EXPECT_TRUE(directory.registered(backendNamed("a"), start + 6s).empty());
+    EXPECT_TRUE(directory.tick(start + 7s).empty());
+    EXPECT_TRUE(isUnusable(directory.tick(start + 7500ms), "b", DirectoryReason::Lapsed));
+    EXPECT_EQ(directory.usableCount(), 1U);
+}
+
+TEST(BackendDirectory, drainingEndsWorkEvenRightAfterAnOutage)
+{
+    BackendDirectory directory({});
+    directory.listed({backendNamed("a")}, start);
+    directory.registryLost();
+    directory.registryRegained(start + 5s);
+    EXPECT_TRUE(isUnusable(directory.listed({drainingNamed("a")}, start + 5s), "a", DirectoryReason::Draining));
+}
+
+TEST(BackendDirectory, changedRegistrationIsToldAgain)
+{
+    BackendDirectory directory({});
+    directory.listed({backendNamed("a")}, start);
+    auto moved = backendNamed("a");
+    moved.address = "10.0.0.2:8000";
+    const auto changes = directory.registered(moved, start);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(std::get<BackendUsable>(changes.front()).backend.address, "10.0.0.2:8000");
+}
+
+/// Whatever comes in whatever order, a backend server of which the registry's last word is "draining" or, outside the
+/// time after an outage, nothing at all, is not in use.
+RC_GTEST_PROP(BackendDirectoryFuzz, lastWordOfTheRegistryCounts, ())
+{
+    BackendDirectory directory({});
+    std::map<std::string, bool> truth;
+    std::map<std::string, bool> used;
+    core::TimePoint now = start;
+    bool isLost = false;
+    core::TimePoint regained = start - 1h;
+    const auto apply = [&used](const DirectoryChanges &changes) {
+        for (const auto &change : changes) {
+            if (const auto *usable = std::get_if<BackendUsable>(&change)) {
+                used[usable->backend.id.text()] = true;
+            } else {
+                used.erase(std::get<BackendUnusable>(change).id.text());
+            }
+        }
+    };
+    const int steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 800));
+        const std::string name(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+        switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+            truth[name] = true;
+            apply(isLost ? DirectoryChanges() : directory.registered(backendNamed(name), now));
+            break;
+        case 1:
+            truth[name] = false;
+            apply(isLost ? DirectoryChanges() : directory.registered(drainingNamed(name), now));
+            break;
+        case 2:
+            truth.erase(name);
+            apply(isLost ? DirectoryChanges() : directory.removed(BackendId(name), now));
+            break;
+        case 3:
+            directory.registryLost();
+            isLost = true;
+            break;
+        default:
+            if (isLost) {
+                directory.registryRegained(now);
+                regained = now;
+                isLost = false;
+            }
+            std::vector<RegisteredBackend> all;
+            for (const auto &[each, isReady] : truth) {
+                all.push_back(isReady ? backendNamed(each) : drainingNamed(each));
+            }
+            apply(directory.listed(all, now));
+        }
+        apply(directory.tick(now));
+        if (isLost) {
+            continue;
+        }
+        for (const auto &[each, isUsed] : used) {
+            const auto known = truth.find(each);
+            RC_ASSERT(known == truth.end() || known->second);
+            RC_ASSERT(known != truth.end() || now < regained + DirectorySettings().returnTime);
+        }
+    }
+}
+
+} // namespace lycheelanding::decisions::membership
--- /dev/null
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "lycheelanding/decisions/membership/entrydrain.h"
+#include "lycheelanding/forwarding/forwardedexchange.h"
+
+#include <memory>
+#include <string>
+
+namespace lycheelanding::forwarding {
+
+struct EntryServerSettings
+{
+    /// Where callers connect.
+    asio::ip::tcp::endpoint callers;
+    /// Where the platform asks whether the entry is ready.
+    asio::ip::tcp::endpoint readiness;
+    std::string readinessPath = "/ready";
+    std::string process;
+    core::DataCentreId dataCentre;
+    FieldNames names;
+    SharedRetryBudget retryBudget;
+    decisions::membership::EntryDrainSettings drain;
+    std::size_t maxConnections = 4096;
+};
+
+/// An entry on the direct path: takes callers' requests and sends them to backend servers. Used on the thread of its
+/// io_context.
+class EntryServer
+{
+public:
+    EntryServer(asio::io_context &context, EntryServerSettings settings, EventLog &log);
+    ~EntryServer();
+
+    core::Status start();
+    /// A version of the configuration was read; a lower one than that in force is ignored.
+    void configurationRead(ForwardingConfiguration configuration);
+    void backendsChanged(const decisions::membership::DirectoryChanges &changes);
+    void reportLoad(const BackendId &id, const decisions::routing::LoadReport &report);
+    void setLiveEntries(std::size_t entries) { m_backends.setLiveEntries(entries); }
+    /// The registry has been read as a whole at least once.
+    void backendsListed() { m_hasBackends = true; }
+    /// Ends the entry without cutting off a request; calls `onStopped` when it may exit.
+    void stop(std::function<void()> onStopped);
+
+    bool isReady() const { return m_routes && m_hasBackends && m_drain.isReady(); }
+    const BackendSet &backends() const { return m_backends; }
+    const RouteTablePointer &routes() const { return m_routes; }
+    report::Metrics &metrics() { return m_metrics; }
+
+private:
+    void handleRequest(const http::HttpExchangePointer &exchange);
+    void handleReadiness(const http::HttpExchangePointer &exchange);
+    void carryOut(const decisions::membership::EntryDrainActions &actions);
+    void tickDrain();
+
+    asio::io_context &m_context;
+    const EntryServerSettings m_settings;
+    core::SystemClock m_clock;
+    EventLog &m_log;
+    report::Metrics m_metrics;
+    BackendSet m_backends;
+    RetryBudgets m_retries;
+    http::ConnectionPool m_pool;
+    AttemptId m_lastAttempt;
+    RouteTablePointer m_routes;
+    bool m_hasBackends = false;
+    decisions::membership::EntryDrain m_drain;
+    asio::steady_timer m_drainTimer;
+    std::function<void()> m_onStopped;
+    bool m_isStopped = false;
+    core::TimePoint m_lastBytesUntil;
+    http::HttpServer m_callers;
+    http::HttpServer m_readiness;
+};
+
+} // namespace lycheelanding::forwarding
--- /dev/null
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "lycheelanding/core/clock.h"
+#include "lycheelanding/decisions/attempts/requestattempts.h"
+#include "lycheelanding/forwarding/answercheck.h"
+#include "lycheelanding/forwarding/backendset.h"
+#include "lycheelanding/forwarding/eventlog.h"
+#include "lycheelanding/forwarding/requesttext.h"
+#include "lycheelanding/forwarding/retrybudgets.h"
+#include "lycheelanding/forwarding/routetable.h"
+#include "lycheelanding/http/connectionpool.h"
+#include "lycheelanding/http/httpserver.h"
+#include "lycheelanding/report/metrics.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lycheelanding::forwarding {
+
+/// What all requests of an entry share. Used on one thread.
+struct ForwardingParts
+{
+    asio::io_context &context;
+    const FieldNames &names;
+    BackendSet &backends;
+    RetryBudgets &retries;
+    http::ConnectionPool &pool;
+    EventLog &log;
+    report::Metrics &metrics;
+    /// Numbers the attempts of the process.
+    AttemptId &lastAttempt;
+};
+
+/// One request of a caller, from its arrival to its answer. RequestAttempts says what may be sent again and what an
+/// answer may claim; this class carries that out over connections.
+class ForwardedExchange : public std::enable_shared_from_this<ForwardedExchange>
+{
+public:
+    ForwardedExchange(const ForwardingParts &parts, RouteTablePointer routes, http::HttpExchangePointer exchange,
+                      std::function<void()> onOver);
+
+    void start();
+    /// Answers a request that was not looked at: it has not run.
+    static void refuse(const http::HttpExchangePointer &exchange, const core::Error &error);
+
+private:
+    using AttemptNumber = decisions::attempts::AttemptNumber;
+
+    /// One try at one backend server.
+    struct Attempt
+    {
+        AttemptNumber number;
+        AttemptId id;
+        ChosenBackend backend;
+        http::ClientConnectionPointer connection;
+        core::TimePoint startedAt;
+        AnswerClass answerClass = AnswerClass::Own;
+        http::AnswerHead head;
+        std::string body;
+        bool hasHead = false;
+        bool hasEvent = false;
+    };
+
+    core::Result<const Route *> findRoute();
+    void startTimer();
+    void startAttempt();
+    void openConnection();
+    void connected(AttemptNumber attempt, const core::Status &status);
+    void send();
+    http::AnswerHandlers answerHandlers(AttemptNumber attempt);
+    bool isCurrent(AttemptNumber attempt) const { return m_attempt && m_attempt->number == attempt; }
+
+    void onHead(AttemptNumber attempt, http::AnswerHead head);
+    void onBody(AttemptNumber attempt, std::string_view bytes);
+    void onEnd(AttemptNumber attempt, bool isReusable);
+    void onFailed(AttemptNumber attempt, const core::Error &error);
+    void passOnBody(std::string_view bytes);
+    void beginAnswer();
+    void finishAnswer();
+
+    void onTimeout();
+    void onCallerGone();
+    void carryOut(const decisions::attempts::AttemptActions &actions);
+    void carryOut(const decisions::attempts::RetryPossible &action);
+    void carryOut(const decisions::attempts::SendRequest &action);
+    void carryOut(const decisions::attempts::CancelAttempt &action);
+    void carryOut(const decisions::attempts::AnswerError &action);
+    void carryOut(const decisions::attempts::BreakAnswer &action);
+    void carryOut(const decisions::attempts::RequestDone &action);
+
+    void endAttempt(Outcome outcome);
+    void answerError(const core::Error &error);
+    void over(std::string_view outcome, int status);
+    core::TimePoint now() const { return m_clock.now(); }
+    std::int64_t elapsedMs() const;
+
+    ForwardingParts m_parts;
+    const RouteTablePointer m_routes;
+    const http::HttpExchangePointer m_exchange;
+    std::function<void()> m_onOver;
+    core::SystemClock m_clock;
+    const core::TimePoint m_arrival;
+    asio::steady_timer m_timer;
+    asio::steady_timer m_retryTimer;
+    const Route *m_route = nullptr;
+    core::ServiceId m_service;
+    core::OrganisationId m_organisation;
+    std::string m_attemptName;
+    TokenFigures m_tokens;
+    core::TimePoint m_deadline;
+    std::optional<decisions::attempts::RequestAttempts> m_attempts;
+    std::optional<Attempt> m_attempt;
+    std::vector<BackendId> m_tried;
+    /// A failure that the last backend server answered; it goes to the caller when no other is asked.
+    std::optional<http::HttpResponse> m_failure;
+    bool m_isAnswering = false;
+    bool m_isOver = false;
+};
+
+} // namespace lycheelanding::forwarding
--- /dev/null
+++ b/packages/forwarding/src/answercheck.cpp
@@ -0,0 +1,52 @@
+#include "lycheelanding/forwarding/answercheck.h"
+
+#include <algorithm>
+#include <array>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+constexpr int misdirected = 421;
+constexpr int firstSuccess = 200;
+constexpr int firstRedirect = 300;
+constexpr int firstServerError = 500;
+/// With these, callers are promised that the request has not run and never will.
+constexpr std::array<int, 4> promisingStatuses{408, 421, 429, 503};
+
+bool isPromising(int status)
+{
+    return std::find(promisingStatuses.begin(), promisingStatuses.end(), status) != promisingStatuses.end();
+}
+
+} // namespace
+
+AnswerClass classifyAnswer(const http::AnswerHead &head, const FieldNames &names)
+{
+    if (head.status == misdirected) {
+        return AnswerClass::Misdirected;
+    }
+    if (head.headers.find(names.notRun)) {
+        return AnswerClass::NotRun;
+    }
+    // Without the backend server's word the promise of such a status may be false.
+    if (isPromising(head.status) || head.status < firstSuccess) {
+        return AnswerClass::Broken;
+    }
+    if (head.status < firstRedirect && !head.headers.find(names.proof)) {
+        return AnswerClass::Broken;
+    }
+    // Nobody asks for an encoded body, so an encoding is not the backend server's.
+    if (head.headers.find("Content-Encoding")) {
+        return AnswerClass::Broken;
+    }
+    return head.status >= firstServerError ? AnswerClass::Failure : AnswerClass::Own;
+}
+
+bool isAnswerTo(const http::AnswerHead &head, const FieldNames &names, std::string_view attempt)
+{
+    const auto named = head.headers.find(names.attempt);
+    return !named || *named == attempt;
+}
+
+} // namespace lycheelanding::forwarding
--- /dev/null
+++ b/packages/forwarding/src/backendset.cpp
@@ -0,0 +1,125 @@
+#include "lycheelanding/forwarding/backendset.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+using decisions::membership::BackendUnusable;
+using decisions::membership::BackendUsable;
+
+core::VmId selectorName(const BackendId &id)
+{
+    return core::VmId(id.text());
+}
+
+} // namespace
+
+std::optional<asio::ip::tcp::endpoint> endpointFrom(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    asio::error_code error;
+    const auto address = asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
+    std::uint16_t port = 0;
+    const char *const end = text.data() + text.size();
+    const auto [last, portError] = std::from_chars(text.data() + colon + 1, end, port);
+    if (error || portError != std::errc() || last != end || port == 0) {
+        return std::nullopt;
+    }
+    return asio::ip::tcp::endpoint(address, port);
+}
+
+BackendSet::BackendSet(core::DataCentreId ownDataCentre, std::uint64_t seed)
+    : m_ownDataCentre(std::move(ownDataCentre)), m_selector(decisions::routing::SelectorSettings(), seed)
+{ }
+
+void BackendSet::apply(const decisions::membership::DirectoryChanges &changes)
+{
+    for (const auto &change : changes) {
+        if (const auto *gone = std::get_if<BackendUnusable>(&change)) {
+            m_backends.erase(gone->id);
+            m_endpoints.erase(gone->id);
+            continue;
+        }
+        const auto &backend = std::get<BackendUsable>(change).backend;
+        m_backends.erase(backend.id);
+        m_endpoints.erase(backend.id);
+        if (const auto endpoint = endpointFrom(backend.address)) {
+            m_backends.emplace(backend.id, backend);
+            m_endpoints.emplace(backend.id, *endpoint);
+        }
+    }
+    if (!changes.empty()) {
+        updateCandidates();
+    }
+}
+
+void BackendSet::updateCandidates()
+{
+    std::vector<decisions::routing::BackendCandidate> candidates;
+    for (const auto &[id, backend] : m_backends) {
+        decisions::routing::BackendCandidate candidate;
+        candidate.vm = selectorName(id);
+        candidate.dataCentre = backend.dataCentre;
+        candidate.service = backend.service;
+        candidates.push_back(std::move(candidate));
+    }
+    m_selector.setCandidates(std::move(candidates));
+}
+
+void BackendSet::reportLoad(const BackendId &id, const decisions::routing::LoadReport &report)
+{
+    m_selector.reportLoad(selectorName(id), report);
+}
+
+core::Result<ChosenBackend> BackendSet::chooseAndSend(const BackendRequest &request, AttemptId attempt,
+                                                      core::TimePoint now)
+{
+    decisions::routing::RouteRequest route;
+    route.service = request.service;
+    route.expectedTokens = request.expectedTokens;
+    route.ownDataCentre = m_ownDataCentre;
+    route.idempotent = request.isIdempotent;
+    for (const auto &id : request.tried) {
+        route.excluded.push_back(selectorName(id));
+    }
+    const auto result = m_selector.choose(route, now);
+    if (!core::isOk(result)) {
+        return core::Error{core::ErrorKind::NoBackendServer, core::errorOf(result).detail,
+                           core::errorOf(result).retryAfter};
+    }
+    const auto &choice = core::valueOf(result);
+    const BackendId id(choice.vm.text());
+    m_selector.requestSent(attempt, choice, request.expectedTokens, now);
+    return ChosenBackend{id, m_endpoints.at(id), choice};
+}
+
+void BackendSet::firstEvent(AttemptId attempt, std::uint64_t promptTokens, core::TimePoint now)
+{
+    m_selector.firstToken(attempt, promptTokens, now);
+}
+
+void BackendSet::ended(AttemptId attempt, Outcome outcome, core::TimePoint now)
+{
+    m_selector.requestEnded(attempt, outcome, now);
+}
+
+std::optional<RegisteredBackend> BackendSet::find(const BackendId &id) const
+{
+    const auto found = m_backends.find(id);
+    return found == m_backends.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool BackendSet::isUsed(const asio::ip::tcp::endpoint &endpoint) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(),
+                       [&endpoint](const auto &entry) { return entry.second == endpoint; });
+}
+
+} // namespace lycheelanding::forwarding
--- /dev/null
+++ b/packages/forwarding/src/eventlog.cpp
@@ -0,0 +1,96 @@
+#include "lycheelanding/forwarding/eventlog.h"
+
+#include <fmt/format.h>
+
+#include <fcntl.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+/// Unwritten bytes beyond which lines are dropped.
+constexpr std::size_t mostBufferedBytes = 64UL * 1024;
+/// Bytes that are handed to the descriptor at a time: a pipe that is ready takes as many without blocking.
+constexpr std::size_t writeBytes = 4096;
+/// Lines about single requests in one second; about twice the requests of an entry at the peak that it is designed for.
+constexpr std::size_t mostRequestLinesPerSecond = 200;
+
+void appendEscaped(std::string &line, std::string_view text)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    for (const char letter : text) {
+        if (letter == '"' || letter == '\\') {
+            line += '\\';
+            line += letter;
+        } else if (static_cast<unsigned char>(letter) < firstPrintable) {
+            line += ' ';
+        } else {
+            line += letter;
+        }
+    }
+}
+
+} // namespace
+
+EventLog::EventLog(int descriptor, std::string process) : m_descriptor(descriptor), m_process(std::move(process)) { }
+
+bool EventLog::isOverRate(LogImportance importance)
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(now).count();
+    if (second != m_second) {
+        m_second = second;
+        m_linesInSecond = 0;
+    }
+    return ++m_linesInSecond > mostRequestLinesPerSecond && importance == LogImportance::Request;
+}
+
+void EventLog::write(LogImportance importance, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (isOverRate(importance) || m_buffer.size() >= mostBufferedBytes) {
+        ++m_dropped;
+        return;
+    }
+    const auto time
+        = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    fmt::format_to(std::back_inserter(m_buffer), R"({{"time":{},"process":"{}","event":"{}")", time.count(), m_process,
+                   event);
+    for (const auto &field : fields) {
+        fmt::format_to(std::back_inserter(m_buffer), R"(,"{}":)", field.name);
+        if (field.isNumber) {
+            m_buffer.append(field.value);
+            continue;
+        }
+        m_buffer += '"';
+        appendEscaped(m_buffer, field.value);
+        m_buffer += '"';
+    }
+    if (m_dropped != m_droppedTold) {
+        fmt::format_to(std::back_inserter(m_buffer), R"(,"droppedLines":{})", m_dropped);
+        m_droppedTold = m_dropped;
+    }
+    m_buffer.append("}\n");
+}
+
+void EventLog::flush()
+{
+    while (!m_buffer.empty()) {
+        pollfd state{m_descriptor, POLLOUT, 0};
+        if (::poll(&state, 1, 0) <= 0 || (state.revents & POLLOUT) == 0) {
+            return;
+        }
+        const auto written = ::write(m_descriptor, m_buffer.data(), std::min(m_buffer.size(), writeBytes));
+        if (written <= 0) {
+            return;
+        }
+        m_buffer.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
+} // namespace lycheelanding::forwarding
--- /dev/null
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -0,0 +1,474 @@
+#include "lycheelanding/forwarding/forwardedexchange.h"
+
+#include "lycheelanding/core/stablehash.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+using namespace decisions::attempts;
+
+/// The answer leaves this much before the caller stops waiting, so that it still arrives: the time of a message to the
+/// caller and of the entry's own turn.
+constexpr std::chrono::milliseconds answerMargin{20};
+/// Longest wait for a connection to open; a data centre away it takes about a millisecond, a lost first packet is sent
+/// again after one second.
+constexpr std::chrono::milliseconds longestConnect{1000};
+/// Part of the time left that a connection may take to open, so that another backend server can still be asked.
+constexpr int connectPart = 3;
+/// An answer up to this size is gathered before it is passed on: until then another backend server can be asked.
+constexpr std::size_t mostGatheredBytes = 64UL * 1024;
+/// Bytes that wait for a slow caller before the answer is broken off.
+constexpr std::size_t mostUnsentBytes = 256UL * 1024;
+/// When to come back where nothing better is known.
+constexpr std::chrono::milliseconds usualRetryAfter{200};
+/// Callers honour a time to come back up to this part of what they have left.
+constexpr int retryAfterPart = 4;
+constexpr int firstRedirect = 300;
+
+core::Error lostError(const core::Error &error)
+{
+    return {core::ErrorKind::BackendServerLost, error.detail};
+}
+
+} // namespace
+
+ForwardedExchange::ForwardedExchange(const ForwardingParts &parts, RouteTablePointer routes,
+                                     http::HttpExchangePointer exchange, std::function<void()> onOver)
+    : m_parts(parts), m_routes(std::move(routes)), m_exchange(std::move(exchange)), m_onOver(std::move(onOver)),
+      m_arrival(m_clock.now()), m_timer(parts.context), m_retryTimer(parts.context)
+{ }
+
+void ForwardedExchange::refuse(const http::HttpExchangePointer &exchange, const core::Error &error)
+{
+    const auto &row = core::answerOf(error.kind);
+    auto response = http::jsonResponse(row.httpStatus,
+                                       "{\"kind\":\"" + std::string(row.name) + "\",\"ran\":\""
+                                           + std::string(core::nameOf(row.ran)) + "\"}");
+    if (row.retryCanSucceed) {
+        const auto wait = error.retryAfter.value_or(usualRetryAfter);
+        std::array<char, 32> text{};
+        constexpr int decimals = 3;
+        const auto end = std::to_chars(text.data(), text.data() + text.size(),
+                                       std::chrono::duration<double>(wait).count(), std::chars_format::fixed, decimals)
+                             .ptr;
+        response.headers.add("Retry-After", std::string(text.data(), end));
+    }
+    exchange->respond(std::move(response));
+}
+
+core::Result<const Route *> ForwardedExchange::findRoute()
+{
+    const auto &request = m_exchange->request();
+    if (!m_routes) {
+        return core::Error{core::ErrorKind::StoreUnavailable, "no configuration has been read yet"};
+    }
+    const Route *route = m_routes->find(request.headers.find("Host").value_or(std::string()), request.path());
+    if (route == nullptr) {
+        return core::Error{core::ErrorKind::UnknownRoute, "no route has the host and path"};
+    }
+    const auto organisation
+        = m_routes->organisationFor(*route, request.headers.find(m_parts.names.key).value_or(std::string()));
+    if (!core::isOk(organisation)) {
+        return core::errorOf(organisation);
+    }
+    m_organisation = core::valueOf(organisation);
+    return route;
+}
+
+void ForwardedExchange::start()
+{
+    const auto &request = m_exchange->request();
+    m_parts.metrics.increment(report::Counter::RequestsReceived);
+    m_attemptName = request.headers.find(m_parts.names.attempt).value_or(std::string());
+    const auto route = findRoute();
+    if (!core::isOk(route)) {
+        answerError(core::errorOf(route));
+        return;
+    }
+    m_route = core::valueOf(route);
+    m_service = m_routes->serviceFor(*m_route, core::stableHash(m_attemptName));
+    m_tokens = tokenFiguresOf(request.headers, m_parts.names);
+    const auto timeLeft = millisecondsIn(request.headers, m_parts.names.timeLeft);
+    m_deadline = m_arrival + m_route->timeout;
+    if (timeLeft) {
+        m_deadline = std::min(m_deadline, m_arrival + std::max(*timeLeft - answerMargin, answerMargin));
+    }
+    m_attempts.emplace(RequestTraits{m_route->isIdempotent(), m_deadline});
+    m_exchange->onCallerGone([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->onCallerGone();
+        }
+    });
+    startTimer();
+    startAttempt();
+}
+
+void ForwardedExchange::startTimer()
+{
+    m_timer.expires_at(m_deadline);
+    m_timer.async_wait([self = shared_from_this()](const auto &error) {
+        if (!error) {
+            self->onTimeout();
+        }
+    });
+}
+
+void ForwardedExchange::startAttempt()
+{
+    BackendRequest request;
+    request.service = m_service;
+    request.promptTokens = m_tokens.prompt;
+    request.expectedTokens = std::max<std::uint64_t>(m_tokens.prompt + m_tokens.likelyAnswer, 1);
+    request.isIdempotent = m_route->isIdempotent();
+    request.tried = m_tried;
+    m_parts.lastAttempt = m_parts.lastAttempt.next();
+    const auto chosen = m_parts.backends.chooseAndSend(request, m_parts.lastAttempt, now());
+    if (!core::isOk(chosen)) {
+        carryOut(m_attempts->giveUp(core::errorOf(chosen)));
+        return;
+    }
+    m_attempt.emplace();
+    m_attempt->number = m_attempts->attemptStarted();
+    m_attempt->id = m_parts.lastAttempt;
+    m_attempt->backend = core::valueOf(chosen);
+    m_attempt->startedAt = now();
+    m_tried.push_back(m_attempt->backend.id);
+    m_attempt->connection = m_parts.pool.take(m_attempt->backend.endpoint);
+    if (m_attempt->connection) {
+        carryOut(m_attempts->readyToSend(m_attempt->number));
+        return;
+    }
+    openConnection();
+}
+
+void ForwardedExchange::openConnection()
+{
+    m_parts.metrics.increment(report::Counter::ConnectionsOpened);
+    const auto timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
+    m_attempt->connection
+        = std::make_shared<http::ClientConnection>(m_parts.context.get_executor(), m_attempt->backend.endpoint);
+    m_attempt->connection->connect(std::min(longestConnect, timeLeft / connectPart),
+                                   [self = shared_from_this(), attempt = m_attempt->number](
+                                       const core::Status &status) { self->connected(attempt, status); });
+}
+
+void ForwardedExchange::connected(AttemptNumber attempt, const core::Status &status)
+{
+    if (!isCurrent(attempt)) {
+        return;
+    }
+    if (!core::isOk(status)) {
+        endAttempt(Outcome::Failed);
+        carryOut(m_attempts->notSent(attempt, core::errorOf(status), now()));
+        return;
+    }
+    carryOut(m_attempts->readyToSend(attempt));
+}
+
+void ForwardedExchange::carryOut(const SendRequest &)
+{
+    if (m_tried.size() == 1) {
+        m_parts.retries.firstAttemptSent(m_service);
+    }
+    PassedOn passedOn;
+    passedOn.organisation = m_organisation;
+    passedOn.expectedBackend = m_attempt->backend.id.text();
+    passedOn.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
+    const auto &request = m_exchange->request();
+    m_attempt->connection->send(passedOnRequest(request, passedOn, m_parts.names), request.method == "HEAD",
+                                answerHandlers(m_attempt->number));
+}
+
+http::AnswerHandlers ForwardedExchange::answerHandlers(AttemptNumber attempt)
+{
+    const auto self = shared_from_this();
+    http::AnswerHandlers handlers;
+    handlers.isOwn
+        = [self](const http::AnswerHead &head) { return isAnswerTo(head, self->m_parts.names, self->m_attemptName); };
+    handlers.onHead = [self, attempt](http::AnswerHead head) { self->onHead(attempt, std::move(head)); };
+    handlers.onBody = [self, attempt](std::string_view bytes) { self->onBody(attempt, bytes); };
+    handlers.onEnd = [self, attempt](bool isReusable) { self->onEnd(attempt, isReusable); };
+    handlers.onFailed = [self, attempt](const core::Error &error) { self->onFailed(attempt, error); };
+    return handlers;
+}
+
+void ForwardedExchange::onHead(AttemptNumber attempt, http::AnswerHead head)
+{
+    if (!isCurrent(attempt)) {
+        return;
+    }
+    m_attempt->hasHead = true;
+    m_attempt->answerClass = classifyAnswer(head, m_parts.names);
+    m_attempt->head = std::move(head);
+}
+
+void ForwardedExchange::onBody(AttemptNumber attempt, std::string_view bytes)
+{
+    if (!isCurrent(attempt)) {
+        return;
+    }
+    if (m_attempt->answerClass == AnswerClass::Own && !m_attempt->hasEvent) {
+        m_attempt->hasEvent = true;
+        m_parts.backends.firstEvent(m_attempt->id, m_tokens.prompt, now());
+    }
+    const bool isStream = m_route->kind == RouteKind::Stream && m_attempt->head.status < firstRedirect;
+    const bool isPassedOn = m_attempt->answerClass == AnswerClass::Own
+        && (isStream || m_attempt->body.size() + bytes.size() > mostGatheredBytes || m_isAnswering);
+    if (isPassedOn) {
+        passOnBody(bytes);
+        return;
+    }
+    if (m_attempt->body.size() < mostGatheredBytes) {
+        m_attempt->body.append(bytes);
+    }
+}
+
+void ForwardedExchange::passOnBody(std::string_view bytes)
+{
+    if (!m_isAnswering) {
+        beginAnswer();
+    }
+    if (!m_attempt) {
+        return;
+    }
+    m_exchange->sendChunk(std::string(bytes));
+    if (m_exchange->unsentBytes() > mostUnsentBytes) {
+        onFailed(m_attempt->number, {core::ErrorKind::Cancelled, "the caller does not read its answer"});
+    }
+}
+
+void ForwardedExchange::beginAnswer()
+{
+    m_isAnswering = true;
+    carryOut(m_attempts->answering(m_attempt->number));
+    const auto &head = m_attempt->head;
+    if (head.bodyBytes) {
+        m_exchange->startSized(head.status, head.headers, *head.bodyBytes);
+    } else {
+        m_exchange->startStream(head.status, head.headers);
+    }
+    if (!m_attempt->body.empty()) {
+        m_exchange->sendChunk(std::exchange(m_attempt->body, {}));
+    }
+}
+
+void ForwardedExchange::onEnd(AttemptNumber attempt, bool isReusable)
+{
+    if (!isCurrent(attempt)) {
+        return;
+    }
+    if (isReusable && m_parts.backends.isUsed(m_attempt->backend.endpoint)) {
+        m_parts.pool.keep(m_attempt->connection);
+        m_attempt->connection.reset();
+    }
+    const std::string place = m_attempt->backend.id.text();
+    switch (m_attempt->answerClass) {
+    case AnswerClass::Own:
+        finishAnswer();
+        return;
+    case AnswerClass::Failure:
+        m_failure = http::HttpResponse{m_attempt->head.status, m_attempt->head.headers, m_attempt->body};
+        endAttempt(Outcome::Answered);
+        carryOut(
+            m_attempts->lost(attempt, {core::ErrorKind::BackendServerFailed, place + " failed the request"}, now()));
+        return;
+    case AnswerClass::NotRun:
+        endAttempt(Outcome::Refused);
+        carryOut(
+            m_attempts->refused(attempt, {core::ErrorKind::Overloaded, place + " has not run the request"}, now()));
+        return;
+    case AnswerClass::Misdirected:
+        endAttempt(Outcome::Leaving);
+        carryOut(m_attempts->refused(
+            attempt, {core::ErrorKind::NoBackendServer, "another backend server has the address of " + place}, now()));
+        return;
+    case AnswerClass::Broken:
+        endAttempt(Outcome::Failed);
+        carryOut(m_attempts->lost(
+            attempt, {core::ErrorKind::BackendServerFailed, place + " gave an answer that cannot be passed on"},
+            now()));
+        return;
+    }
+}
+
+void ForwardedExchange::finishAnswer()
+{
+    const int status = m_attempt->head.status;
+    if (m_isAnswering) {
+        m_exchange->finish();
+    } else {
+        m_exchange->respond({status, m_attempt->head.headers, std::move(m_attempt->body)});
+    }
+    const auto attempt = m_attempt->number;
+    endAttempt(Outcome::Answered);
+    m_parts.metrics.increment(report::Counter::RequestsAnswered);
+    m_parts.metrics.record(report::Latency::WholeAnswer, now() - m_arrival, now());
+    carryOut(m_attempts->answered(attempt));
+    over("answered", status);
+}
+
+void ForwardedExchange::onFailed(AttemptNumber attempt, const core::Error &error)
+{
+    if (!isCurrent(attempt)) {
+        return;
+    }
+    endAttempt(Outcome::Failed);
+    carryOut(m_attempts->lost(attempt, lostError(error), now()));
+}
+
+void ForwardedExchange::onTimeout()
+{
+    if (m_isOver) {
+        return;
+    }
+    carryOut(m_attempts->tick(std::max(now(), m_deadline)));
+    if (!m_isOver && m_isAnswering) {
+        carryOut(BreakAnswer{{core::ErrorKind::DeadlineExceeded, "the time of the request has passed"}});
+    }
+}
+
+void ForwardedExchange::onCallerGone()
+{
+    if (m_isOver) {
+        return;
+    }
+    m_parts.metrics.increment(report::Counter::RequestsCancelled);
+    carryOut(m_attempts->callerGone());
+    over("callerGone", 0);
+}
+
+void ForwardedExchange::carryOut(const AttemptActions &actions)
+{
+    for (const auto &action : actions) {
+        std::visit([this](const auto &each) { carryOut(each); }, action);
+    }
+}
+
+void ForwardedExchange::carryOut(const RetryPossible &action)
+{
+    decisions::retry::FailedAttempt failed;
+    failed.attempt = static_cast<std::uint32_t>(m_tried.size());
+    failed.error = action.error;
+    failed.ran = action.ran;
+    failed.idempotent = m_route->isIdempotent();
+    failed.deadline = m_deadline;
+    if (m_tried.size() >= m_route->maxAttempts) {
+        carryOut(m_attempts->giveUp(action.error));
+        return;
+    }
+    const auto decision = m_parts.retries.attemptFailed(m_service, failed, now());
+    if (const auto *giveUp = std::get_if<decisions::retry::GiveUp>(&decision)) {
+        m_parts.metrics.increment(report::Counter::RetriesDeniedByBudget);
+        carryOut(m_attempts->giveUp(giveUp->error));
+        return;
+    }
+    m_parts.metrics.increment(report::Counter::RetriesSent);
+    m_parts.log.write(LogImportance::Request, "retry",
+                      {{"request", m_attemptName},
+                       {"reason", core::nameOf(action.error.kind)},
+                       {"detail", action.error.detail},
+                       {"attempts", static_cast<std::int64_t>(m_tried.size())}});
+    m_retryTimer.expires_after(std::get<decisions::retry::RetryAfter>(decision).delay);
+    m_retryTimer.async_wait([self = shared_from_this()](const auto &error) {
+        if (!error && !self->m_isOver) {
+            self->startAttempt();
+        }
+    });
+}
+
+void ForwardedExchange::carryOut(const CancelAttempt &action)
+{
+    if (isCurrent(action.attempt)) {
+        // Backend servers end a request when its connection closes.
+        endAttempt(Outcome::Cancelled);
+    }
+}
+
+void ForwardedExchange::carryOut(const AnswerError &action)
+{
+    if (m_failure && action.ran != core::Ran::No) {
+        const int status = m_failure->status;
+        m_exchange->respond(std::move(*m_failure));
+        over("failedByBackend", status);
+        return;
+    }
+    answerError(action.error);
+}
+
+void ForwardedExchange::carryOut(const BreakAnswer &action)
+{
+    endAttempt(Outcome::Cancelled);
+    m_exchange->abort();
+    m_parts.metrics.increment(report::Counter::AnswersBroken);
+    m_parts.log.write(
+        LogImportance::Request, "answerBroken",
+        {{"request", m_attemptName}, {"reason", core::nameOf(action.error.kind)}, {"detail", action.error.detail}});
+    over("broken", 0);
+}
+
+void ForwardedExchange::carryOut(const RequestDone &) { }
+
+void ForwardedExchange::endAttempt(Outcome outcome)
+{
+    if (!m_attempt) {
+        return;
+    }
+    m_parts.backends.ended(m_attempt->id, outcome, now());
+    if (m_attempt->connection) {
+        m_attempt->connection->close();
+    }
+    m_attempt.reset();
+}
+
+void ForwardedExchange::answerError(const core::Error &error)
+{
+    core::Error shown = error;
+    if (core::answerOf(error.kind).retryCanSucceed && m_route != nullptr) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
+        const auto wait = shown.retryAfter.value_or(usualRetryAfter);
+        shown.retryAfter
+            = std::clamp(wait, std::chrono::milliseconds(1), std::max(left / retryAfterPart, answerMargin));
+    }
+    m_parts.metrics.countRefusal(error.kind);
+    m_parts.log.write(LogImportance::Request, "refused",
+                      {{"request", m_attemptName},
+                       {"reason", core::nameOf(error.kind)},
+                       {"detail", error.detail},
+                       {"attempts", static_cast<std::int64_t>(m_tried.size())},
+                       {"configuration", m_routes ? static_cast<std::int64_t>(m_routes->version().number()) : 0}});
+    refuse(m_exchange, shown);
+    over("refused", core::answerOf(error.kind).httpStatus);
+}
+
+std::int64_t ForwardedExchange::elapsedMs() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now() - m_arrival).count();
+}
+
+void ForwardedExchange::over(std::string_view outcome, int status)
+{
+    if (std::exchange(m_isOver, true)) {
+        return;
+    }
+    m_timer.cancel();
+    m_retryTimer.cancel();
+    endAttempt(Outcome::Cancelled);
+    m_parts.log.write(LogImportance::Request, "requestOver",
+                      {{"request", m_attemptName},
+                       {"outcome", outcome},
+                       {"status", status},
+                       {"service", m_service.text()},
+                       {"backend", m_tried.empty() ? std::string() : m_tried.back().text()},
+                       {"attempts", static_cast<std::int64_t>(m_tried.size())},
+                       {"ms", elapsedMs()}});
+    if (const auto onOver = std::exchange(m_onOver, nullptr)) {
+        onOver();
+    }
+}
+
+} // namespace lycheelanding::forwarding
--- /dev/null
+++ b/packages/forwarding/src/retrybudgets.cpp
@@ -0,0 +1,29 @@
+#include "lycheelanding/forwarding/retrybudgets.h"
+
+#include "lycheelanding/core/stablehash.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lycheelanding::forwarding {
+
+decisions::retry::RetryPolicy &RetryBudgets::policyOf(const core::ServiceId &service)
+{
+    const auto known = m_policies.find(service);
+    if (known != m_policies.end()) {
+        return known->second;
+    }
+    // A window may hold a full balance and what its requests earn; a restarted entry begins with a full one, so half of
+    // the part is kept back for that.
+    const std::uint32_t part = std::max(m_budget.slack / std::max(m_budget.mostEntries, 1U) / 2, 1U);
+    decisions::retry::RetrySettings settings;
+    // The route bounds the attempts of a request.
+    settings.mostAttempts = std::numeric_limits<std::uint32_t>::max();
+    settings.budgetPercent = m_budget.percent;
+    settings.initialBalance = part;
+    settings.largestBalance = part;
+    const auto seed = m_seed ^ core::stableHash(service.text());
+    return m_policies.emplace(service, decisions::retry::RetryPolicy(settings, seed)).first->second;
+}
+
+} // namespace lycheelanding::forwarding
