Sides lead rank groups on the platform: lease with fencing number, in-process gates, maps planned from free counts

Cause: on map 0 the busiest rank had 3.44 times the mean load; a pass waits for it. Built: RankCommands (orders to engines that arm maps, repeated until answered), GroupLeadership (lease, fence from the store's revision), GroupSwitch, GroupPlanner and SideServer in packages/rankgroups; engine reports and orders in platform/.

--- a/packages/daemon/app/main.cpp
+++ b/packages/daemon/app/main.cpp
@@ -4,6 +4,7 @@
 #include "side/sidedaemon.h"
 
 #include "platform/entryprogram.h"
+#include "platform/sideprogram.h"
 
 #include "lycheelanding/core/version.h"
 
@@ -76,6 +77,9 @@
     if (platformRole && arguments["role"].as<std::string>() == "entry") {
         return platform::runEntry();
     }
+    if (platformRole && arguments["role"].as<std::string>() == "side") {
+        return platform::runSide();
+    }
     if (arguments.count("role") == 0 || arguments.count("settings") == 0) {
         return reportFault("usage: lycheelandingd entry|side --settings FILE [--check] or entry|side --platform");
     }
--- /dev/null
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/groupleadership.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "lycheelanding/core/clock.h"
+#include "lycheelanding/decisions/mapswitch/switchmessages.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace lycheelanding::decisions::mapswitch {
+
+struct LeadershipSettings
+{
+    std::chrono::milliseconds timeToLive{2000};
+    core::Duration renewInterval = std::chrono::milliseconds(600);
+    /// Silence of a leader after which the member with rank 0 tries to lead; each further rank waits longer, so that
+    /// seldom two try at once.
+    core::Duration silence = std::chrono::milliseconds(1000);
+    core::Duration silencePerRank = std::chrono::milliseconds(250);
+    /// Pause after a failed try.
+    core::Duration retryPause = std::chrono::milliseconds(1000);
+};
+
+/// Get a lease from the store; answered by leaseGranted() or callFailed().
+struct GrantLease
+{
+    std::chrono::milliseconds timeToLive{0};
+};
+/// Write the leader's key with the lease if the key does not exist; answered by keyWritten() or callFailed().
+struct WriteLeaderKey
+{
+    std::uint64_t lease = 0;
+};
+/// Answered by leaseRenewed() or callFailed().
+struct RenewLease
+{
+    std::uint64_t lease = 0;
+};
+struct BecameLeader
+{
+    FencingNumber fence;
+};
+/// No new switch is begun from now on.
+struct LostLeadership
+{ };
+using LeadershipAction = std::variant<GrantLease, WriteLeaderKey, RenewLease, BecameLeader, LostLeadership>;
+using LeadershipActions = std::vector<LeadershipAction>;
+
+/// Who leads a rank group: the process that holds the group's key in the store under a lease. The store's revision of
+/// that key is the fencing number, which only grows. A leader counts its lease from the moment at which it asked for
+/// it, so it stops before the store gives the key to another.
+class GroupLeadership
+{
+public:
+    explicit GroupLeadership(const LeadershipSettings &settings) : m_settings(settings) { }
+
+    /// A leader of the own group was heard.
+    void leaderHeard(core::TimePoint now) { m_lastHeard = now; }
+    LeadershipActions leaseGranted(std::uint64_t lease, core::TimePoint now);
+    /// The key was written at a revision of the store, or exists already.
+    LeadershipActions keyWritten(std::optional<std::uint64_t> revision, core::TimePoint now);
+    LeadershipActions leaseRenewed(core::TimePoint now);
+    /// The call has no answer, or the lease has ended.
+    LeadershipActions callFailed(bool hasLeaseEnded, core::TimePoint now);
+    /// Another leader was found to have a higher fencing number.
+    LeadershipActions fencedOff(core::TimePoint now);
+    /// `rank` is the own rank within the group.
+    LeadershipActions tick(std::uint64_t rank, core::TimePoint now);
+
+    bool isLeader() const { return m_state == State::Leading; }
+    FencingNumber fence() const { return m_fence; }
+
+private:
+    enum class State : std::uint8_t {
+        Following,
+        Granting,
+        Writing,
+        Leading,
+    };
+
+    void stepDown(core::TimePoint now, LeadershipActions &actions);
+
+    const LeadershipSettings m_settings;
+    State m_state = State::Following;
+    std::optional<core::TimePoint> m_lastHeard;
+    core::TimePoint m_nextTry;
+    core::TimePoint m_askedAt;
+    core::TimePoint m_validUntil;
+    std::optional<core::TimePoint> m_renewalAsked;
+    std::uint64_t m_lease = 0;
+    FencingNumber m_fence;
+};
+
+} // namespace lycheelanding::decisions::mapswitch
--- /dev/null
+++ b/packages/decisions/src/mapswitch/rankcommands.cpp
@@ -0,0 +1,177 @@
+#include "lycheelanding/decisions/mapswitch/rankcommands.h"
+
+namespace lycheelanding::decisions::mapswitch {
+
+EngineState engineStateOf(const RankState &state)
+{
+    EngineState result;
+    result.isFormed = true;
+    result.generation = state.generation;
+    result.map = state.map;
+    result.nextStep = state.step.next();
+    result.staged = state.prepared;
+    if (state.armed) {
+        // Armed means that the decision was told; what is missing is at most the end of the hold.
+        result.map = state.armed->map;
+        result.lastUse = state.armed;
+    } else {
+        result.heldAt = state.held;
+    }
+    return result;
+}
+
+RankCommandActions RankCommands::carryOut(const StageMap &order, core::TimePoint now)
+{
+    RankCommandActions actions;
+    m_preparing = order.map;
+    m_prepared.reset();
+    add({CommandKind::Prepare, order.stamp.generation, order.map, {}}, now, actions);
+    return actions;
+}
+
+RankCommandActions RankCommands::carryOut(const HoldAt &order, core::TimePoint now)
+{
+    RankCommandActions actions;
+    add({CommandKind::Hold, order.stamp.generation, {}, order.step}, now, actions);
+    return actions;
+}
+
+RankCommandActions RankCommands::carryOut(const UseFrom &order, core::TimePoint now)
+{
+    RankCommandActions actions;
+    add({CommandKind::Arm, order.stamp.generation, order.use.map, order.use.step}, now, actions);
+    add({CommandKind::Go, order.stamp.generation, {}, order.use.step}, now, actions);
+    return actions;
+}
+
+RankCommandActions RankCommands::carryOut(const ResumeAt &order, core::TimePoint now)
+{
+    RankCommandActions actions;
+    // A late Arm of an earlier coordinator must not take effect between the decision and the step.
+    if (m_prepared) {
+        add({CommandKind::Disarm, order.stamp.generation, *m_prepared, {}}, now, actions);
+    }
+    add({CommandKind::Go, order.stamp.generation, {}, order.step}, now, actions);
+    return actions;
+}
+
+RankCommandActions RankCommands::answered(std::uint64_t number, CommandAnswer answer, core::TimePoint now)
+{
+    RankCommandActions actions;
+    if (m_queue.empty() || number != m_number) {
+        return actions;
+    }
+    switch (answer) {
+    case CommandAnswer::None:
+        break; // Repeated by tick().
+    case CommandAnswer::Done:
+        finishFirst(now, actions);
+        break;
+    case CommandAnswer::Conflict:
+        conflict(m_queue.front(), now, actions);
+        break;
+    case CommandAnswer::Fenced:
+        m_queue.clear();
+        m_preparing.reset();
+        actions.emplace_back(FencedOff{});
+        break;
+    }
+    return actions;
+}
+
+void RankCommands::conflict(const EngineCommand &command, core::TimePoint now, RankCommandActions &actions)
+{
+    switch (command.kind) {
+    case CommandKind::Prepare: {
+        const auto map = command.map;
+        m_preparing.reset();
+        m_queue.pop_front();
+        actions.emplace_back(MapStageFailed{map});
+        sendFirst(now, actions);
+        return;
+    }
+    case CommandKind::Hold: {
+        const auto step = command.step;
+        m_queue.pop_front();
+        actions.emplace_back(HoldRefused{step});
+        sendFirst(now, actions);
+        return;
+    }
+    case CommandKind::Arm:
+        // An earlier send of the command may have been carried out meanwhile.
+        m_isInDoubt = true;
+        return;
+    case CommandKind::Disarm:
+    case CommandKind::Go:
+        finishFirst(now, actions);
+        return;
+    }
+}
+
+RankCommandActions RankCommands::stateRead(const RankState &state, core::TimePoint now)
+{
+    RankCommandActions actions;
+    m_prepared = state.prepared;
+    if (m_preparing && state.prepared == m_preparing) {
+        const auto map = *m_preparing;
+        m_preparing.reset();
+        if (!m_queue.empty() && m_queue.front().kind == CommandKind::Prepare) {
+            m_queue.pop_front();
+            ++m_number;
+            sendFirst(now, actions);
+        }
+        actions.emplace_back(MapStaged{map});
+    }
+    if (!m_isInDoubt || m_queue.empty()) {
+        return actions;
+    }
+    m_isInDoubt = false;
+    const auto &command = m_queue.front();
+    const bool isArmed = state.armed == MapUse{command.map, command.step} || state.map == command.map;
+    if (isArmed) {
+        finishFirst(now, actions);
+        return actions;
+    }
+    m_queue.clear();
+    actions.emplace_back(StateLost{});
+    return actions;
+}
+
+RankCommandActions RankCommands::tick(core::TimePoint now)
+{
+    RankCommandActions actions;
+    if (!m_queue.empty() && !m_isInDoubt && now - m_sentAt >= m_settings.answerTimeout) {
+        sendFirst(now, actions);
+    }
+    return actions;
+}
+
+void RankCommands::add(const EngineCommand &command, core::TimePoint now, RankCommandActions &actions)
+{
+    m_queue.push_back(command);
+    if (m_queue.size() == 1) {
+        sendFirst(now, actions);
+    }
+}
+
+void RankCommands::sendFirst(core::TimePoint now, RankCommandActions &actions)
+{
+    if (m_queue.empty()) {
+        return;
+    }
+    m_isInDoubt = false;
+    m_sentAt = now;
+    actions.emplace_back(SendCommand{++m_number, m_queue.front()});
+}
+
+void RankCommands::finishFirst(core::TimePoint now, RankCommandActions &actions)
+{
+    const auto command = m_queue.front();
+    m_queue.pop_front();
+    if (command.kind == CommandKind::Hold) {
+        actions.emplace_back(StepHeld{command.step});
+    }
+    sendFirst(now, actions);
+}
+
+} // namespace lycheelanding::decisions::mapswitch
--- /dev/null
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/datagramsocket.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "lycheelanding/core/result.h"
+#include "lycheelanding/rankgroups/rankdatagrams.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+
+namespace lycheelanding::rankgroups {
+
+/// Messages between our processes that may get lost. Used on the thread of its io_context, which it must not outlive.
+class DatagramSocket
+{
+public:
+    using Handler = std::function<void(const asio::ip::udp::endpoint &sender, const Datagram &datagram)>;
+
+    DatagramSocket(asio::io_context &context, Handler onDatagram);
+
+    /// Fails with InvalidSettings when the address cannot be bound.
+    core::Status open(const asio::ip::udp::endpoint &address);
+    /// Drops the message when it cannot be sent at once.
+    void send(const asio::ip::udp::endpoint &receiver, const Datagram &datagram);
+
+private:
+    void receive();
+
+    asio::ip::udp::socket m_socket;
+    const Handler m_onDatagram;
+    asio::ip::udp::endpoint m_sender;
+    std::array<char, 16384> m_buffer{};
+};
+
+} // namespace lycheelanding::rankgroups
--- /dev/null
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "lycheelanding/decisions/experts/expertmap.h"
+#include "lycheelanding/decisions/mapswitch/rankcommands.h"
+#include "lycheelanding/decisions/mapswitch/rankgate.h"
+#include "lycheelanding/decisions/mapswitch/switchcoordinator.h"
+#include "lycheelanding/rankgroups/rankreport.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace lycheelanding::rankgroups {
+
+/// Give a command to the engine of a rank; answered by answered().
+struct CommandRank
+{
+    core::RankIndex rank;
+    std::uint64_t number = 0;
+    AddressedCommand command;
+};
+struct SwitchOver
+{
+    core::MapVersion map;
+    bool isInForce = false;
+};
+/// Another leader has taken over.
+struct LeaderFenced
+{ };
+using GroupSwitchAction = std::variant<CommandRank, SwitchOver, LeaderFenced>;
+using GroupSwitchActions = std::vector<GroupSwitchAction>;
+
+/// The map switches of one group in one generation, led by this process: one coordinator, and for each rank a gate and
+/// the commands to its engine. A new leader makes a new one from what the engines report.
+class GroupSwitch
+{
+public:
+    GroupSwitch(decisions::mapswitch::FencingNumber fence, const std::vector<decisions::mapswitch::RankState> &ranks,
+                core::TimePoint now);
+
+    /// Opens the sessions: the coordinator finds out what an earlier leader has left.
+    GroupSwitchActions start(core::TimePoint now);
+    /// Begins a switch to the map, which gets a version of its own; does nothing unless isIdle().
+    GroupSwitchActions switchTo(decisions::experts::ExpertMap map, core::TimePoint now);
+    GroupSwitchActions answered(core::RankIndex rank, std::uint64_t number, decisions::mapswitch::CommandAnswer answer,
+                                core::TimePoint now);
+    /// A rank's engine was read. Answers to commands that were given before are in the state.
+    GroupSwitchActions stateRead(core::RankIndex rank, const decisions::mapswitch::RankState &state,
+                                 core::TimePoint now);
+    GroupSwitchActions tick(core::TimePoint now);
+
+    bool isIdle() const;
+    decisions::mapswitch::SwitchPhase phase() const { return m_coordinator.phase(); }
+    core::MapVersion map() const { return m_coordinator.map(); }
+    core::Generation generation() const { return m_generation; }
+    /// The content of a version that this leader has made.
+    const decisions::experts::ExpertMap *content(core::MapVersion version) const;
+
+private:
+    struct Rank
+    {
+        decisions::mapswitch::RankGate gate;
+        decisions::mapswitch::RankCommands commands;
+        decisions::mapswitch::RankState state;
+        std::uint64_t session = 0;
+    };
+
+    void openSession(std::size_t rank, core::TimePoint now, GroupSwitchActions &actions);
+    void carryOut(const decisions::mapswitch::CoordinatorActions &coordinatorActions, core::TimePoint now,
+                  GroupSwitchActions &actions);
+    void carryOut(std::size_t rank, const decisions::mapswitch::GateActions &gateActions, core::TimePoint now,
+                  GroupSwitchActions &actions);
+    void carryOut(std::size_t rank, const decisions::mapswitch::RankCommandActions &commandActions, core::TimePoint now,
+                  GroupSwitchActions &actions);
+    AddressedCommand addressed(const decisions::mapswitch::EngineCommand &command) const;
+    bool needsNewSession(const Rank &rank) const;
+
+    const decisions::mapswitch::FencingNumber m_fence;
+    core::Generation m_generation;
+    std::vector<Rank> m_ranks;
+    /// The newest step that any rank has told of.
+    core::StepNumber m_step;
+    decisions::mapswitch::SwitchCoordinator m_coordinator;
+    std::uint64_t m_lastSession = 0;
+    std::uint64_t m_madeMaps = 0;
+    std::map<core::MapVersion, decisions::experts::ExpertMap> m_contents;
+};
+
+/// The experts of a map by layer and rank.
+std::vector<std::vector<std::vector<std::uint32_t>>> expertsByLayerAndRank(const decisions::experts::ExpertMap &map);
+
+} // namespace lycheelanding::rankgroups
--- /dev/null
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "lycheelanding/rankgroups/rankreport.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace lycheelanding::rankgroups {
+
+/// From an entry or a group's leader to a side: send what you know for the next seconds.
+struct Subscription
+{
+    /// Set by a leader, which also wants counts and maps: the group that it leads.
+    std::string leadsGroup;
+};
+
+/// From a side to its subscribers.
+struct RankNews
+{
+    RankReport report;
+    /// Only to leaders: choices since the rank's start; empty when they were not read.
+    ChoiceCounts counts;
+    /// Only to leaders: the experts of the map in force.
+    HeldExperts held;
+};
+
+using Datagram = std::variant<Subscription, RankNews>;
+
+std::string encodeDatagram(const Datagram &datagram);
+/// Nothing for bytes that are no such message of this protocol version.
+std::optional<Datagram> decodeDatagram(std::string_view bytes);
+
+} // namespace lycheelanding::rankgroups
--- /dev/null
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "lycheelanding/core/clock.h"
+#include "lycheelanding/decisions/mapswitch/groupleadership.h"
+#include "lycheelanding/decisions/membership/backenddirectory.h"
+#include "lycheelanding/forwarding/eventlog.h"
+#include "lycheelanding/rankgroups/datagramsocket.h"
+#include "lycheelanding/rankgroups/groupleader.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lycheelanding::rankgroups {
+
+/// What a side asks of the engines. Handlers get nothing when there was no answer.
+struct EnginePorts
+{
+    std::function<void(std::function<void(std::optional<RankReport>)>)> readReport;
+    std::function<void(std::function<void(std::optional<ChoiceCounts>)>)> readCounts;
+    std::function<void(std::function<void(std::optional<HeldExperts>)>)> readHeldExperts;
+    std::function<void(const asio::ip::tcp::endpoint &engine, const AddressedCommand &command,
+                       std::function<void(decisions::mapswitch::CommandAnswer)>)>
+        command;
+};
+
+/// Why a call of the store failed.
+enum class LeaseFailure : std::uint8_t {
+    NoAnswer,
+    LeaseEnded,
+};
+
+/// What a side asks of the store.
+struct LeaderStorePorts
+{
+    std::function<void(std::chrono::milliseconds timeToLive,
+                       std::function<void(std::variant<std::uint64_t, LeaseFailure>)>)>
+        grantLease;
+    std::function<void(std::uint64_t lease, std::function<void(std::optional<LeaseFailure>)>)> renewLease;
+    /// The revision of the key; nothing where it exists already.
+    std::function<void(const core::GroupId &group, std::uint64_t lease,
+                       std::function<void(std::variant<std::optional<std::uint64_t>, LeaseFailure>)>)>
+        writeLeaderKey;
+    std::function<void(std::function<void(std::optional<std::vector<decisions::membership::RegisteredBackend>>)>)>
+        readBackends;
+    /// The shape of the model of a service.
+    std::function<void(const core::ServiceId &service, std::function<void(std::optional<forwarding::ModelShape>)>)>
+        readModelShape;
+};
+
+struct SideServerSettings
+{
+    std::string ip;
+    /// The same on all VMs.
+    std::uint16_t datagramPort = 0;
+    core::ServiceId service;
+    asio::ip::tcp::endpoint engine;
+};
+
+/// A side: reads the engine on its own VM, tells entries and leaders what it sees, and leads its group when it holds
+/// the group's lease. Used on the thread of its io_context.
+class SideServer
+{
+public:
+    SideServer(asio::io_context &context, const SideServerSettings &settings, EnginePorts engine,
+               LeaderStorePorts store, forwarding::EventLog &log);
+
+    core::Status start();
+    /// Called after the VM stood still.
+    void resumed();
+
+private:
+    struct Subscriber
+    {
+        bool isLeader = false;
+        core::TimePoint until;
+        core::TimePoint nextNews;
+    };
+
+    void tick();
+    core::Duration currentReadInterval() const;
+    void readEngine();
+    void onReport(const std::optional<RankReport> &report);
+    void readCountsIfDue();
+    void readHeldIfDue();
+    void onDatagram(const asio::ip::udp::endpoint &sender, const Datagram &datagram);
+    void sendNews();
+    bool hasLeaderSubscriber() const;
+    bool isLeading() const { return m_leader != nullptr; }
+
+    void carryOut(const decisions::mapswitch::LeadershipActions &actions);
+    void carryOut(const decisions::mapswitch::GrantLease &action);
+    void carryOut(const decisions::mapswitch::WriteLeaderKey &action);
+    void carryOut(const decisions::mapswitch::RenewLease &action);
+    void carryOut(const decisions::mapswitch::BecameLeader &action);
+    void carryOut(const decisions::mapswitch::LostLeadership &action);
+    void carryOut(const LeaderActions &actions);
+    void command(const CommandEngine &action);
+    void readBackendsIfDue();
+    void subscribeToMembers();
+
+    const SideServerSettings m_settings;
+    EnginePorts m_engine;
+    LeaderStorePorts m_store;
+    forwarding::EventLog &m_log;
+    core::SystemClock m_clock;
+    asio::steady_timer m_timer;
+    DatagramSocket m_socket;
+    std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
+    RankReport m_report;
+    bool m_hasReport = false;
+    bool m_isReading = false;
+    bool m_isReadingCounts = false;
+    bool m_isReadingHeld = false;
+    ChoiceCounts m_counts;
+    HeldExperts m_held;
+    std::optional<std::pair<core::Generation, core::MapVersion>> m_heldOf;
+    core::TimePoint m_nextCounts;
+    decisions::mapswitch::GroupLeadership m_leadership{decisions::mapswitch::LeadershipSettings()};
+    std::unique_ptr<GroupLeader> m_leader;
+    /// Engines of the own service by the IP number of their VM.
+    std::map<std::string, asio::ip::tcp::endpoint> m_engines;
+    core::TimePoint m_nextBackendsRead;
+    core::TimePoint m_nextSubscribe;
+};
+
+} // namespace lycheelanding::rankgroups
--- /dev/null
+++ b/packages/rankgroups/src/groupleader.cpp
@@ -0,0 +1,161 @@
+#include "lycheelanding/rankgroups/groupleader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheelanding::rankgroups {
+
+namespace {
+
+using namespace decisions::mapswitch;
+using decisions::experts::ExpertMap;
+
+/// Age of a rank's last news beyond which nothing new is begun.
+constexpr std::chrono::milliseconds newsLimit{1500};
+constexpr std::chrono::milliseconds planInterval{100};
+
+} // namespace
+
+GroupLeader::GroupLeader(core::GroupId group, FencingNumber fence, const forwarding::ModelShape &shape)
+    : m_group(std::move(group)), m_fence(fence), m_shape(shape)
+{ }
+
+bool GroupLeader::isWhole(core::TimePoint now) const
+{
+    if (m_members.empty()) {
+        return false;
+    }
+    const auto &first = m_members.begin()->second.report;
+    return m_members.size() == first.size && std::all_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
+               const auto &member = entry.second;
+               return member.report.isOpen && member.report.state.generation == first.state.generation
+                   && now - member.heardAt < newsLimit;
+           });
+}
+
+LeaderActions GroupLeader::newsHeard(const std::string &ip, const RankNews &news, core::TimePoint now)
+{
+    LeaderActions actions;
+    if (news.report.group != m_group) {
+        std::erase_if(m_members, [&ip](const auto &entry) { return entry.second.ip == ip; });
+        return actions;
+    }
+    const auto rank = news.report.rank;
+    Member &member = m_members[rank];
+    const bool isSame = member.ip == ip && member.report.state.generation == news.report.state.generation;
+    member.ip = ip;
+    member.report = news.report;
+    member.heardAt = now;
+    if (!news.held.empty()) {
+        member.held = news.held;
+    }
+    if (m_switch && (!isSame || !news.report.isOpen)) {
+        // The engines of a group that forms anew have forgotten everything.
+        m_switch.reset();
+        m_planner.reset();
+    }
+    if (!m_switch) {
+        openSwitch(now, actions);
+        return actions;
+    }
+    take(m_switch->stateRead(rank, news.report.state, now), now, actions);
+    if (!news.counts.empty()) {
+        m_planner->countsRead(rank, news.counts, now);
+    }
+    planIfDue(now, actions);
+    return actions;
+}
+
+void GroupLeader::openSwitch(core::TimePoint now, LeaderActions &actions)
+{
+    if (!isWhole(now)) {
+        return;
+    }
+    std::vector<RankState> states;
+    for (const auto &[rank, member] : m_members) {
+        states.push_back(member.report.state);
+    }
+    m_planner.emplace(m_shape, states.size());
+    m_switch = std::make_unique<GroupSwitch>(m_fence, states, now);
+    take(m_switch->start(now), now, actions);
+}
+
+std::optional<ExpertMap> GroupLeader::currentMap() const
+{
+    const auto version = m_switch->map();
+    if (const auto *known = m_switch->content(version)) {
+        return *known;
+    }
+    ExpertMap map(m_planner->shape(), version);
+    for (const auto &[rank, member] : m_members) {
+        if (member.held.size() != m_shape.layers || member.report.state.map != version) {
+            return std::nullopt;
+        }
+        for (std::size_t layer = 0; layer < member.held.size(); ++layer) {
+            for (const auto expert : member.held[layer]) {
+                if (expert < m_shape.experts) {
+                    map.addReplica(core::LayerIndex(layer), core::ExpertIndex(expert), rank);
+                }
+            }
+        }
+    }
+    return map.isComplete() ? std::optional(map) : std::nullopt;
+}
+
+void GroupLeader::planIfDue(core::TimePoint now, LeaderActions &actions)
+{
+    if (now < m_nextPlan || !m_switch->isIdle() || !isWhole(now)) {
+        return;
+    }
+    m_nextPlan = now + planInterval;
+    const auto current = currentMap();
+    if (!current) {
+        return;
+    }
+    const auto move = m_planner->plan(*current, now);
+    if (!move) {
+        return;
+    }
+    m_planner->switchBegun(*move, now);
+    actions.emplace_back(
+        SwitchNote{"mapSwitchBegun", current->version(), move->loads.size(), move->skewBefore, move->skewAfter});
+    take(m_switch->switchTo(move->next, now), now, actions);
+}
+
+LeaderActions GroupLeader::answered(const std::string &ip, std::uint64_t number, CommandAnswer answer,
+                                    core::TimePoint now)
+{
+    LeaderActions actions;
+    const auto found
+        = std::find_if(m_members.begin(), m_members.end(), [&ip](const auto &entry) { return entry.second.ip == ip; });
+    if (m_switch && found != m_members.end()) {
+        take(m_switch->answered(found->first, number, answer, now), now, actions);
+    }
+    return actions;
+}
+
+LeaderActions GroupLeader::tick(core::TimePoint now)
+{
+    LeaderActions actions;
+    if (m_switch) {
+        take(m_switch->tick(now), now, actions);
+    }
+    return actions;
+}
+
+void GroupLeader::take(const GroupSwitchActions &switchActions, core::TimePoint, LeaderActions &actions)
+{
+    for (const auto &action : switchActions) {
+        if (const auto *command = std::get_if<CommandRank>(&action)) {
+            actions.emplace_back(CommandEngine{m_members.at(command->rank).ip, command->number, command->command});
+        } else if (const auto *over = std::get_if<SwitchOver>(&action)) {
+            m_planner->switchEnded();
+            actions.emplace_back(
+                SwitchNote{over->isInForce ? "mapSwitched" : "mapSwitchWithdrawn", over->map, 0, 0.0, 0.0});
+        } else {
+            actions.emplace_back(LeaderFenced{});
+        }
+    }
+}
+
+} // namespace lycheelanding::rankgroups
--- /dev/null
+++ b/packages/rankgroups/src/groupplanner.cpp
@@ -0,0 +1,137 @@
+#include "lycheelanding/rankgroups/groupplanner.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace lycheelanding::rankgroups {
+
+namespace {
+
+using namespace decisions::experts;
+
+/// Counts are taken together over this time: long enough for some hundred choices of each layer.
+constexpr std::chrono::milliseconds countWindow{200};
+constexpr double bitsPerByte = 8.0;
+
+MapShape mapShapeOf(const forwarding::ModelShape &model, std::size_t ranks)
+{
+    return {ranks, model.experts, model.layers, model.slotsPerRank};
+}
+
+PlannerSettings plannerSettings(const forwarding::ModelShape &model, std::size_t ranks)
+{
+    PlannerSettings settings;
+    settings.weightStore.bytesPerExpert = model.expertBytes;
+    // Ranks load at the same time, each over its own link.
+    settings.weightStore.bytesPerSecond
+        = static_cast<std::uint64_t>(model.linkBitsPerSecond / bitsPerByte * static_cast<double>(ranks));
+    // Passes take 15 in 100 longer while a rank copies: a move pays within seconds of a large skew.
+    settings.movementWeight = 0.02;
+    settings.hysteresis = 0.08;
+    settings.bytesPerMinute = settings.weightStore.bytesPerSecond * 60;
+    settings.savedBudgetMinutes = 1;
+    settings.longestLoad = std::chrono::milliseconds(400);
+    settings.horizon = std::chrono::seconds(10);
+    settings.forecast.levelTime = std::chrono::milliseconds(200);
+    settings.riskWeight = 0.5;
+    settings.freedSlotCost = 0.0;
+    settings.countsStaleAfter = std::chrono::seconds(5);
+    return settings;
+}
+
+void copyLayer(const ExpertMap &from, ExpertMap &to, core::LayerIndex layer)
+{
+    for (std::size_t number = 0; number < from.shape().experts; ++number) {
+        const core::ExpertIndex expert(number);
+        const auto replaced = to.ranksOf(layer, expert);
+        for (const auto rank : replaced) {
+            to.removeReplica(layer, expert, rank);
+        }
+        for (const auto rank : from.ranksOf(layer, expert)) {
+            to.addReplica(layer, expert, rank);
+        }
+    }
+}
+
+} // namespace
+
+ExpertMap withoutCrowdedLayers(const ExpertMap &current, const ExpertMap &next, std::size_t spare)
+{
+    ExpertMap result = next;
+    std::map<std::pair<core::LayerIndex, core::RankIndex>, std::size_t> loads;
+    for (const auto &placement : changedPlacements(current, next)) {
+        if (++loads[{placement.layer, placement.rank}] == spare + 1) {
+            copyLayer(current, result, placement.layer);
+        }
+    }
+    return result;
+}
+
+GroupPlanner::GroupPlanner(const forwarding::ModelShape &shape, std::size_t ranks)
+    : m_model(shape), m_shape(mapShapeOf(shape, ranks)), m_planner(m_shape, plannerSettings(shape, ranks)),
+      m_latest(ranks), m_windowStart(ranks)
+{ }
+
+void GroupPlanner::countsRead(core::RankIndex rank, const ChoiceCounts &counts, core::TimePoint now)
+{
+    const auto index = rank.number();
+    if (index >= m_latest.size() || counts.size() != m_shape.layers * m_shape.experts) {
+        return;
+    }
+    const auto &known = m_latest[index];
+    const bool hasRestarted = !known.empty()
+        && !std::equal(known.begin(), known.end(), counts.begin(), [](auto old, auto recent) { return old <= recent; });
+    if (known.empty() || hasRestarted) {
+        m_windowStart[index] = counts;
+    }
+    m_latest[index] = counts;
+    if (!m_windowBegin) {
+        m_windowBegin = now;
+    } else if (now - *m_windowBegin >= countWindow) {
+        observeWindow(now);
+    }
+}
+
+void GroupPlanner::observeWindow(core::TimePoint now)
+{
+    ExpertCounts counts(m_shape.layers, m_shape.experts, now);
+    for (std::size_t layer = 0; layer < m_shape.layers; ++layer) {
+        for (std::size_t expert = 0; expert < m_shape.experts; ++expert) {
+            const std::size_t cell = layer * m_shape.experts + expert;
+            std::uint64_t sum = 0;
+            for (std::size_t rank = 0; rank < m_latest.size(); ++rank) {
+                sum += m_latest[rank].empty() ? 0 : m_latest[rank][cell] - m_windowStart[rank][cell];
+            }
+            counts.setTokens(core::LayerIndex(layer), core::ExpertIndex(expert), sum);
+        }
+    }
+    m_planner.observe(counts);
+    m_windowStart = m_latest;
+    m_windowBegin = now;
+}
+
+std::optional<Move> GroupPlanner::plan(const ExpertMap &current, core::TimePoint now)
+{
+    std::vector<core::RankIndex> ranks;
+    for (std::size_t rank = 0; rank < m_shape.ranks; ++rank) {
+        ranks.emplace_back(rank);
+    }
+    const auto plan = m_planner.plan(current, ranks, now);
+    const auto *move = std::get_if<Move>(&plan);
+    if (move == nullptr) {
+        return std::nullopt;
+    }
+    Move result = *move;
+    result.next = withoutCrowdedLayers(current, move->next, m_model.spareSlots);
+    result.loads = changedPlacements(current, result.next);
+    result.bytes = result.loads.size() * m_model.expertBytes;
+    return result.loads.empty() || !result.next.isComplete() ? std::nullopt : std::optional(result);
+}
+
+void GroupPlanner::switchBegun(const Move &move, core::TimePoint now)
+{
+    m_planner.moveStarted(move.bytes, now);
+}
+
+} // namespace lycheelanding::rankgroups
--- /dev/null
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -0,0 +1,89 @@
+#include "lycheelanding/rankgroups/rankdatagrams.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <exception>
+#include <sstream>
+
+namespace lycheelanding::decisions::mapswitch {
+
+template <typename Archive>
+void serialize(Archive &archive, MapUse &use)
+{
+    archive(use.map, use.step);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RankState &state)
+{
+    archive(state.generation, state.step, state.map, state.prepared, state.armed, state.held);
+}
+
+} // namespace lycheelanding::decisions::mapswitch
+
+namespace lycheelanding::rankgroups {
+
+namespace {
+
+/// Changes with the layout of the messages: others are dropped.
+constexpr std::uint16_t protocolVersion = 1;
+/// Longest text or list that a datagram may claim to hold, against bytes that are none of ours.
+constexpr std::size_t mostDatagramBytes = 16UL * 1024;
+
+} // namespace
+
+template <typename Archive>
+void serialize(Archive &archive, RankReport &report)
+{
+    archive(report.group, report.rank, report.size, report.isOpen, report.state, report.waiting, report.running,
+            report.usedTokens, report.totalTokens, report.slowness);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, Subscription &subscription)
+{
+    archive(subscription.leadsGroup);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, RankNews &news)
+{
+    archive(news.report, news.counts, news.held);
+}
+
+std::string encodeDatagram(const Datagram &datagram)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(protocolVersion, datagram);
+    }
+    return std::move(stream).str();
+}
+
+std::optional<Datagram> decodeDatagram(std::string_view bytes)
+{
+    if (bytes.size() > mostDatagramBytes) {
+        return std::nullopt;
+    }
+    try {
+        std::istringstream stream{std::string(bytes)};
+        cereal::PortableBinaryInputArchive archive(stream);
+        std::uint16_t version = 0;
+        archive(version);
+        if (version != protocolVersion) {
+            return std::nullopt;
+        }
+        Datagram datagram;
+        archive(datagram);
+        return datagram;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace lycheelanding::rankgroups
--- /dev/null
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -0,0 +1,350 @@
+#include "lycheelanding/rankgroups/sideserver.h"
+
+#include "lycheelanding/forwarding/backendset.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheelanding::rankgroups {
+
+namespace {
+
+using namespace decisions::mapswitch;
+using forwarding::LogImportance;
+
+/// How often the own engine is read; a step takes some ten milliseconds.
+constexpr std::chrono::milliseconds readInterval{100};
+/// The same while a leader waits for what the rank does.
+constexpr std::chrono::milliseconds groupReadInterval{50};
+/// The same while the own process leads a switch: a step is placed by it.
+constexpr std::chrono::milliseconds switchReadInterval{25};
+/// Time between two messages to one subscriber: the load of an engine changes with each request, of which it ends a
+/// few a second.
+constexpr std::chrono::milliseconds newsInterval{200};
+constexpr std::chrono::milliseconds countsInterval{100};
+constexpr std::chrono::seconds subscriptionTime{3};
+constexpr std::chrono::milliseconds subscribeInterval{500};
+constexpr std::chrono::seconds backendsInterval{5};
+
+std::int64_t numberOf(core::MapVersion version)
+{
+    return static_cast<std::int64_t>(version.number());
+}
+
+std::int64_t thousandths(double value)
+{
+    constexpr double scale = 1000.0;
+    return static_cast<std::int64_t>(value * scale);
+}
+
+} // namespace
+
+SideServer::SideServer(asio::io_context &context, const SideServerSettings &settings, EnginePorts engine,
+                       LeaderStorePorts store, forwarding::EventLog &log)
+    : m_settings(settings), m_engine(std::move(engine)), m_store(std::move(store)), m_log(log), m_timer(context),
+      m_socket(context, [this](const auto &sender, const auto &datagram) { onDatagram(sender, datagram); })
+{ }
+
+core::Status SideServer::start()
+{
+    const asio::ip::udp::endpoint address(asio::ip::make_address(m_settings.ip), m_settings.datagramPort);
+    if (auto status = m_socket.open(address); !core::isOk(status)) {
+        return status;
+    }
+    tick();
+    return core::Done();
+}
+
+void SideServer::resumed()
+{
+    // What was known of the group may have changed while the VM stood still; the lease may have ended.
+    carryOut(m_leadership.tick(m_report.rank.number(), m_clock.now()));
+    m_hasReport = false;
+}
+
+void SideServer::tick()
+{
+    const auto now = m_clock.now();
+    readEngine();
+    if (m_hasReport && !m_report.group.isEmpty()) {
+        carryOut(m_leadership.tick(m_report.rank.number(), now));
+    }
+    if (isLeading()) {
+        readBackendsIfDue();
+        subscribeToMembers();
+        carryOut(m_leader->tick(now));
+    }
+    m_log.flush();
+    m_timer.expires_after(currentReadInterval());
+    m_timer.async_wait([this](const auto &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+core::Duration SideServer::currentReadInterval() const
+{
+    if (isLeading() && m_leader->isSwitching()) {
+        return switchReadInterval;
+    }
+    return isLeading() || hasLeaderSubscriber() ? groupReadInterval : readInterval;
+}
+
+void SideServer::readEngine()
+{
+    if (std::exchange(m_isReading, true)) {
+        return;
+    }
+    m_engine.readReport([this](const std::optional<RankReport> &report) {
+        m_isReading = false;
+        onReport(report);
+    });
+}
+
+void SideServer::onReport(const std::optional<RankReport> &report)
+{
+    if (!report) {
+        if (std::exchange(m_hasReport, false)) {
+            m_log.write(LogImportance::State, "engineSilent", {});
+        }
+        return;
+    }
+    if (!std::exchange(m_hasReport, true) || m_report.state.generation != report->state.generation) {
+        m_log.write(LogImportance::State, "rankSeen",
+                    {{"group", report->group.text()},
+                     {"rank", static_cast<std::int64_t>(report->rank.number())},
+                     {"generation", static_cast<std::int64_t>(report->state.generation.number())}});
+    }
+    m_report = *report;
+    if (isLeading() && m_leader->group() != m_report.group) {
+        carryOut(m_leadership.fencedOff(m_clock.now()));
+    }
+    if (isLeading() || hasLeaderSubscriber()) {
+        readCountsIfDue();
+        readHeldIfDue();
+    }
+    if (isLeading()) {
+        carryOut(m_leader->newsHeard(m_settings.ip, {m_report, std::exchange(m_counts, {}), m_held}, m_clock.now()));
+    }
+    sendNews();
+}
+
+void SideServer::readCountsIfDue()
+{
+    const auto now = m_clock.now();
+    if (m_isReadingCounts || now < m_nextCounts) {
+        return;
+    }
+    m_isReadingCounts = true;
+    m_nextCounts = now + countsInterval;
+    m_engine.readCounts([this](std::optional<ChoiceCounts> counts) {
+        m_isReadingCounts = false;
+        if (counts) {
+            m_counts = std::move(*counts);
+        }
+    });
+}
+
+void SideServer::readHeldIfDue()
+{
+    const auto current = std::pair(m_report.state.generation, m_report.state.map);
+    if (m_isReadingHeld || m_heldOf == current) {
+        return;
+    }
+    m_isReadingHeld = true;
+    m_held.clear();
+    m_engine.readHeldExperts([this, current](std::optional<HeldExperts> held) {
+        m_isReadingHeld = false;
+        // A switch between the two reads makes the answer one of another map.
+        if (held && current == std::pair(m_report.state.generation, m_report.state.map)) {
+            m_held = std::move(*held);
+            m_heldOf = current;
+        }
+    });
+}
+
+bool SideServer::hasLeaderSubscriber() const
+{
+    return std::any_of(m_subscribers.begin(), m_subscribers.end(),
+                       [](const auto &entry) { return entry.second.isLeader; });
+}
+
+void SideServer::onDatagram(const asio::ip::udp::endpoint &sender, const Datagram &datagram)
+{
+    const auto now = m_clock.now();
+    if (const auto *subscription = std::get_if<Subscription>(&datagram)) {
+        auto &subscriber = m_subscribers[sender];
+        subscriber.isLeader
+            = !subscription->leadsGroup.empty() && core::GroupId(subscription->leadsGroup) == m_report.group;
+        subscriber.until = now + subscriptionTime;
+        if (subscriber.isLeader && !isLeading()) {
+            m_leadership.leaderHeard(now);
+        }
+        return;
+    }
+    if (isLeading()) {
+        carryOut(m_leader->newsHeard(sender.address().to_string(), std::get<RankNews>(datagram), now));
+    }
+}
+
+void SideServer::sendNews()
+{
+    const auto now = m_clock.now();
+    std::erase_if(m_subscribers, [now](const auto &entry) { return now >= entry.second.until; });
+    const bool hasCounts = !m_counts.empty();
+    for (auto &[receiver, subscriber] : m_subscribers) {
+        if (subscriber.isLeader) {
+            m_socket.send(receiver, RankNews{m_report, m_counts, m_held});
+        } else if (now >= subscriber.nextNews) {
+            subscriber.nextNews = now + newsInterval;
+            m_socket.send(receiver, RankNews{m_report, {}, {}});
+        }
+    }
+    if (hasCounts && hasLeaderSubscriber()) {
+        m_counts.clear();
+    }
+}
+
+void SideServer::carryOut(const LeadershipActions &actions)
+{
+    for (const auto &action : actions) {
+        std::visit([this](const auto &each) { carryOut(each); }, action);
+    }
+}
+
+void SideServer::carryOut(const GrantLease &action)
+{
+    m_store.grantLease(action.timeToLive, [this](const auto &answer) {
+        const auto now = m_clock.now();
+        if (const auto *lease = std::get_if<std::uint64_t>(&answer)) {
+            carryOut(m_leadership.leaseGranted(*lease, now));
+        } else {
+            carryOut(m_leadership.callFailed(false, now));
+        }
+    });
+}
+
+void SideServer::carryOut(const WriteLeaderKey &action)
+{
+    m_store.writeLeaderKey(m_report.group, action.lease, [this](const auto &answer) {
+        const auto now = m_clock.now();
+        if (const auto *revision = std::get_if<std::optional<std::uint64_t>>(&answer)) {
+            carryOut(m_leadership.keyWritten(*revision, now));
+        } else {
+            carryOut(m_leadership.callFailed(std::get<LeaseFailure>(answer) == LeaseFailure::LeaseEnded, now));
+        }
+    });
+}
+
+void SideServer::carryOut(const RenewLease &action)
+{
+    m_store.renewLease(action.lease, [this](const std::optional<LeaseFailure> &failure) {
+        const auto now = m_clock.now();
+        if (failure) {
+            carryOut(m_leadership.callFailed(*failure == LeaseFailure::LeaseEnded, now));
+        } else {
+            carryOut(m_leadership.leaseRenewed(now));
+        }
+    });
+}
+
+void SideServer::carryOut(const BecameLeader &action)
+{
+    m_log.write(LogImportance::State, "leading",
+                {{"group", m_report.group.text()}, {"fence", static_cast<std::int64_t>(action.fence.number())}});
+    m_nextBackendsRead = {};
+    m_store.readModelShape(
+        m_settings.service,
+        [this, fence = action.fence, group = m_report.group](std::optional<forwarding::ModelShape> shape) {
+            if (!m_leadership.isLeader() || m_leadership.fence() != fence) {
+                return;
+            }
+            if (!shape || shape->layers == 0) {
+                carryOut(m_leadership.fencedOff(m_clock.now()));
+                return;
+            }
+            m_leader = std::make_unique<GroupLeader>(group, fence, *shape);
+        });
+}
+
+void SideServer::carryOut(const LostLeadership &)
+{
+    m_log.write(LogImportance::State, "leadershipLost", {{"group", m_report.group.text()}});
+    m_leader.reset();
+}
+
+void SideServer::carryOut(const LeaderActions &actions)
+{
+    for (const auto &action : actions) {
+        if (const auto *order = std::get_if<CommandEngine>(&action)) {
+            command(*order);
+        } else if (const auto *note = std::get_if<SwitchNote>(&action)) {
+            m_log.write(LogImportance::State, note->what,
+                        {{"map", numberOf(note->map)},
+                         {"loads", static_cast<std::int64_t>(note->loads)},
+                         {"skewBefore1000", thousandths(note->skewBefore)},
+                         {"skewAfter1000", thousandths(note->skewAfter)}});
+        } else {
+            carryOut(m_leadership.fencedOff(m_clock.now()));
+            return;
+        }
+    }
+}
+
+void SideServer::command(const CommandEngine &action)
+{
+    const auto engine = m_engines.find(action.ip);
+    const auto place = action.ip == m_settings.ip ? std::optional(m_settings.engine)
+        : engine == m_engines.end()               ? std::nullopt
+                                                  : std::optional(engine->second);
+    if (!place) {
+        return; // Repeated until the registry has told of the engine.
+    }
+    m_engine.command(
+        *place, action.command,
+        [this, ip = action.ip, number = action.number, fence = action.command.fence](CommandAnswer answer) {
+            if (isLeading() && m_leadership.fence() == fence) {
+                carryOut(m_leader->answered(ip, number, answer, m_clock.now()));
+            }
+        });
+}
+
+void SideServer::readBackendsIfDue()
+{
+    const auto now = m_clock.now();
+    if (now < m_nextBackendsRead) {
+        return;
+    }
+    m_nextBackendsRead = now + backendsInterval;
+    m_store.readBackends([this](const auto &backends) {
+        if (!backends) {
+            return;
+        }
+        m_engines.clear();
+        for (const auto &backend : *backends) {
+            const auto endpoint = forwarding::endpointFrom(backend.address);
+            if (endpoint && backend.service == m_settings.service) {
+                m_engines[endpoint->address().to_string()] = *endpoint;
+            }
+        }
+        m_nextSubscribe = {};
+    });
+}
+
+void SideServer::subscribeToMembers()
+{
+    const auto now = m_clock.now();
+    if (now < m_nextSubscribe) {
+        return;
+    }
+    m_nextSubscribe = now + subscribeInterval;
+    for (const auto &[ip, engine] : m_engines) {
+        if (ip != m_settings.ip) {
+            m_socket.send({asio::ip::make_address(ip), m_settings.datagramPort},
+                          Subscription{m_leader->group().text()});
+        }
+    }
+}
+
+} // namespace lycheelanding::rankgroups
