Expert moves: at most two loads a rank, orders through the sides

Cause: after a shift of demand the first map that fits it came 1.5 to 1.8 s later: ranks copied up to five experts one after the other, and a small move that had begun just before was in the way.

--- a/packages/decisions/include/lycheelanding/decisions/experts/plannersettings.h
+++ b/packages/decisions/include/lycheelanding/decisions/experts/plannersettings.h
@@ -43,6 +43,9 @@
     double savedBudgetMinutes = 20;
     /// Longest time that the loads of one move may take at the weight store's rate.
     core::Duration longestLoad = std::chrono::seconds(30);
+    /// Replicas that one rank may load in one move; 0 sets no limit. Ranks load at the same time, so the rank with the
+    /// most loads decides how long a move takes.
+    int mostLoadsPerRank = 0;
     /// How long a placement is expected to be of use.
     core::Duration horizon = std::chrono::minutes(10);
     ForecastSettings forecast;
--- a/packages/decisions/src/experts/expertplanner.cpp
+++ b/packages/decisions/src/experts/expertplanner.cpp
@@ -241,7 +241,8 @@
     // The price rises as the budget empties, so that small gains never use up what a jump of the load will need.
     const double fill = std::max(leastFillLevel, m_budget.fillLevel(now));
     const auto bytes = std::min(m_budget.available(now), longestLoadBytes(m_settings));
-    return {worthwhileGainPerLoad(m_settings, m_shape) / fill, affordableLoads(bytes, m_settings)};
+    return {worthwhileGainPerLoad(m_settings, m_shape) / fill, affordableLoads(bytes, m_settings),
+            m_settings.mostLoadsPerRank};
 }
 
 std::vector<std::size_t> ExpertPlanner::layersFreshAt(core::TimePoint now) const
--- a/packages/decisions/src/experts/private/movesearch.cpp
+++ b/packages/decisions/src/experts/private/movesearch.cpp
@@ -1,6 +1,8 @@
 #include "experts/private/movesearch.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 #include <utility>
 
 namespace lycheelanding::decisions::experts {
@@ -27,6 +29,21 @@
     }
 }
 
+/// Counts the group's loads by rank, unless one of them would exceed the limit.
+bool fitsRanks(const ChangeGroup &group, std::map<std::size_t, int> &loadsOfRank, int limit)
+{
+    auto counted = loadsOfRank;
+    for (const auto &change : group.changes) {
+        for (const auto &edit : change) {
+            if (edit.isAdded && ++counted[edit.rank] > limit && limit > 0) {
+                return false;
+            }
+        }
+    }
+    loadsOfRank = std::move(counted);
+    return true;
+}
+
 } // namespace
 
 std::vector<ChangeGroup> searchLayer(LayerBalancer balancer, std::size_t layer, const SearchLimits &limits)
@@ -54,12 +71,21 @@
         return left.gainForCost() > right.gainForCost();
     });
     std::vector<ChangeGroup> selected;
+    std::map<std::size_t, int> loadsOfRank;
+    std::set<std::size_t> closedLayers;
     int loads = 0;
     for (auto &group : groups) {
+        // Later groups of a layer build on earlier ones, so none may follow a group that is left out.
         if (group.gainForCost() < limits.gainForCost || loads + group.loads > limits.loads) {
-            // Later groups of a layer build on earlier ones, so none may follow a group that is left out.
             break;
         }
+        if (closedLayers.contains(group.layer)) {
+            continue;
+        }
+        if (!fitsRanks(group, loadsOfRank, limits.loadsPerRank)) {
+            closedLayers.insert(group.layer);
+            continue;
+        }
         loads += group.loads;
         selected.push_back(std::move(group));
     }
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
@@ -27,7 +27,22 @@
     HeldExperts held;
 };
 
-using Datagram = std::variant<Subscription, RankNews>;
+/// From a group's leader to a side: give the command to the engine on your VM.
+struct CommandOrder
+{
+    std::uint64_t number = 0;
+    AddressedCommand command;
+};
+
+/// The engine's answer to a CommandOrder. A side sends none when it has got none.
+struct CommandReply
+{
+    std::uint64_t number = 0;
+    decisions::mapswitch::FencingNumber fence;
+    decisions::mapswitch::CommandAnswer answer = decisions::mapswitch::CommandAnswer::None;
+};
+
+using Datagram = std::variant<Subscription, RankNews, CommandOrder, CommandReply>;
 
 std::string encodeDatagram(const Datagram &datagram);
 /// Nothing for bytes that are no such message of this protocol version.
--- a/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
@@ -4,6 +4,7 @@
 #include "lycheelanding/decisions/mapswitch/groupleadership.h"
 #include "lycheelanding/decisions/membership/backenddirectory.h"
 #include "lycheelanding/forwarding/eventlog.h"
+#include "lycheelanding/forwarding/suspensionclock.h"
 #include "lycheelanding/rankgroups/datagramsocket.h"
 #include "lycheelanding/rankgroups/groupleader.h"
 
@@ -73,8 +74,6 @@
                LeaderStorePorts store, forwarding::EventLog &log);
 
     core::Status start();
-    /// Called after the VM stood still.
-    void resumed();
 
 private:
     struct Subscriber
@@ -103,6 +102,11 @@
     void carryOut(const decisions::mapswitch::LostLeadership &action);
     void carryOut(const LeaderActions &actions);
     void command(const CommandEngine &action);
+    void commandDirectly(const CommandEngine &action, const asio::ip::tcp::endpoint &engine);
+    void carryOutOrder(const asio::ip::udp::endpoint &sender, const CommandOrder &order);
+    void onReply(const std::string &ip, const CommandReply &reply);
+    /// Gives up the lead when the VM stood still: the lease may have ended meanwhile.
+    void checkSuspension();
     void readBackendsIfDue();
     void subscribeToMembers();
 
@@ -127,6 +131,9 @@
     std::unique_ptr<GroupLeader> m_leader;
     /// Engines of the own service by the IP number of their VM.
     std::map<std::string, asio::ip::tcp::endpoint> m_engines;
+    /// Commands sent to a side since its last reply, by the IP number of its VM.
+    std::map<std::string, int> m_unanswered;
+    forwarding::SuspensionClock m_suspension;
     core::TimePoint m_nextBackendsRead;
     core::TimePoint m_nextSubscribe;
 };
--- a/packages/rankgroups/src/groupplanner.cpp
+++ b/packages/rankgroups/src/groupplanner.cpp
@@ -27,11 +27,11 @@
     settings.weightStore.bytesPerSecond
         = static_cast<std::uint64_t>(model.linkBitsPerSecond / bitsPerByte * static_cast<double>(ranks));
     // Passes take 15 in 100 longer while a rank copies: a move pays within seconds of a large skew.
-    settings.movementWeight = 0.02;
-    settings.hysteresis = 0.08;
+    settings.movementWeight = 0.1;
+    settings.hysteresis = 0.12;
     settings.bytesPerMinute = settings.weightStore.bytesPerSecond * 60;
     settings.savedBudgetMinutes = 1;
-    settings.longestLoad = std::chrono::milliseconds(400);
+    settings.mostLoadsPerRank = 2;
     settings.horizon = std::chrono::seconds(10);
     settings.forecast.levelTime = std::chrono::milliseconds(200);
     settings.riskWeight = 0.5;
--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -23,6 +23,12 @@
     archive(state.generation, state.step, state.map, state.prepared, state.armed, state.held);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, EngineCommand &command)
+{
+    archive(command.kind, command.generation, command.map, command.step);
+}
+
 } // namespace lycheelanding::decisions::mapswitch
 
 namespace lycheelanding::rankgroups {
@@ -55,6 +61,24 @@
     archive(news.report, news.counts, news.held);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, AddressedCommand &command)
+{
+    archive(command.command, command.fence, command.experts);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, CommandOrder &order)
+{
+    archive(order.number, order.command);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, CommandReply &reply)
+{
+    archive(reply.number, reply.fence, reply.answer);
+}
+
 std::string encodeDatagram(const Datagram &datagram)
 {
     std::ostringstream stream;
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::seconds subscriptionTime{3};
 constexpr std::chrono::milliseconds subscribeInterval{500};
 constexpr std::chrono::seconds backendsInterval{5};
+/// Commands without a reply after which a side is passed over.
+constexpr int mostUnanswered = 2;
 
 std::int64_t numberOf(core::MapVersion version)
 {
@@ -55,15 +57,19 @@
     return core::Done();
 }
 
-void SideServer::resumed()
+void SideServer::checkSuspension()
 {
-    // What was known of the group may have changed while the VM stood still; the lease may have ended.
-    carryOut(m_leadership.tick(m_report.rank.number(), m_clock.now()));
+    if (!m_suspension.hasBeenSuspended()) {
+        return;
+    }
+    m_log.write(LogImportance::State, "resumed", {{"reason", "the VM stood still"}});
+    carryOut(m_leadership.fencedOff(m_clock.now()));
     m_hasReport = false;
 }
 
 void SideServer::tick()
 {
+    checkSuspension();
     const auto now = m_clock.now();
     readEngine();
     if (m_hasReport && !m_report.group.isEmpty()) {
@@ -183,8 +189,13 @@
         }
         return;
     }
-    if (isLeading()) {
-        carryOut(m_leader->newsHeard(sender.address().to_string(), std::get<RankNews>(datagram), now));
+    const std::string ip = sender.address().to_string();
+    if (const auto *order = std::get_if<CommandOrder>(&datagram)) {
+        carryOutOrder(sender, *order);
+    } else if (const auto *reply = std::get_if<CommandReply>(&datagram)) {
+        onReply(ip, *reply);
+    } else if (isLeading()) {
+        carryOut(m_leader->newsHeard(ip, std::get<RankNews>(datagram), now));
     }
 }
 
@@ -294,22 +305,54 @@
 
 void SideServer::command(const CommandEngine &action)
 {
+    checkSuspension();
+    if (!isLeading()) {
+        return;
+    }
+    if (action.ip == m_settings.ip) {
+        commandDirectly(action, m_settings.engine);
+        return;
+    }
+    // Orders are cheap from an engine's own VM. Without a reply its side may be gone, though the engine is not.
+    if (m_unanswered[action.ip]++ < mostUnanswered) {
+        m_socket.send({asio::ip::make_address(action.ip), m_settings.datagramPort},
+                      CommandOrder{action.number, action.command});
+        return;
+    }
     const auto engine = m_engines.find(action.ip);
-    const auto place = action.ip == m_settings.ip ? std::optional(m_settings.engine)
-        : engine == m_engines.end()               ? std::nullopt
-                                                  : std::optional(engine->second);
-    if (!place) {
-        return; // Repeated until the registry has told of the engine.
+    if (engine != m_engines.end()) {
+        commandDirectly(action, engine->second);
     }
+}
+
+void SideServer::commandDirectly(const CommandEngine &action, const asio::ip::tcp::endpoint &engine)
+{
     m_engine.command(
-        *place, action.command,
+        engine, action.command,
         [this, ip = action.ip, number = action.number, fence = action.command.fence](CommandAnswer answer) {
-            if (isLeading() && m_leadership.fence() == fence) {
-                carryOut(m_leader->answered(ip, number, answer, m_clock.now()));
-            }
+            onReply(ip, {number, fence, answer});
         });
 }
 
+void SideServer::carryOutOrder(const asio::ip::udp::endpoint &sender, const CommandOrder &order)
+{
+    m_engine.command(m_settings.engine, order.command,
+                     [this, sender, number = order.number, fence = order.command.fence](CommandAnswer answer) {
+                         if (answer != CommandAnswer::None) {
+                             m_socket.send(sender, CommandReply{number, fence, answer});
+                         }
+                     });
+}
+
+void SideServer::onReply(const std::string &ip, const CommandReply &reply)
+{
+    m_unanswered[ip] = 0;
+    checkSuspension();
+    if (isLeading() && m_leadership.fence() == reply.fence) {
+        carryOut(m_leader->answered(ip, reply.number, reply.answer, m_clock.now()));
+    }
+}
+
 void SideServer::readBackendsIfDue()
 {
     const auto now = m_clock.now();
