Store watches wait 2.5 s: one may miss a change without an error

Ruled out: the follower mishandling 410 (it read again at once), a lost entry (the registry's watch was cut and regained in 0.1 s).

--- a/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
+++ b/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
@@ -99,10 +99,12 @@
 {
     /// A page that has not come after this long is asked for again; the store answers in milliseconds.
     core::Duration pageTimeout = std::chrono::milliseconds(1500);
-    /// How long a watch waits at the store.
-    std::chrono::milliseconds watchTime = std::chrono::seconds(10);
+    /// How long a watch waits at the store. A watch may miss a change without an error; the next one, or the read that
+    /// a dropped history asks for, tells of it. A VM that was undisturbed for 3 s has to know the configuration, so a
+    /// watch takes less.
+    std::chrono::milliseconds watchTime = std::chrono::milliseconds(2500);
     /// Time beyond that after which a watch counts as lost: its connection may have gone silent for good.
-    core::Duration watchSlack = std::chrono::milliseconds(1500);
+    core::Duration watchSlack = std::chrono::milliseconds(1000);
     /// Bounds of the pause after a failed call; it doubles with each further one.
     core::Duration shortestPause = std::chrono::milliseconds(50);
     core::Duration longestPause = std::chrono::milliseconds(1000);
--- a/packages/decisions/tests/distribution/prefixfollowertest.cpp
+++ b/packages/decisions/tests/distribution/prefixfollowertest.cpp
@@ -138,6 +138,22 @@
     EXPECT_TRUE(actionIn<ContactRegained>(follower.pageRead(again->call, {{}, false, 11}, end)));
 }
 
+/// The store drops its history while a watch hears nothing: seen on a day on which the next version was known 6 s late.
+TEST(PrefixFollower, changeThatAWatchMissesIsKnownWithinTheUndisturbedTime)
+{
+    constexpr std::chrono::milliseconds undisturbedTime{3000};
+    const FollowerSettings settings;
+    PrefixFollower follower(settings);
+    const auto page = actionIn<ReadPage>(follower.start(start));
+    const auto deaf = actionIn<WatchPrefix>(follower.pageRead(page->call, {{}, false, 10}, start));
+    auto now = start + settings.watchTime;
+    const auto next = actionIn<WatchPrefix>(follower.watchEnded(deaf->call, {{}, 10}, now));
+    const auto again = actionIn<ReadPage>(follower.callFailed(next->call, StoreCallFailure::HistoryGone, now));
+    const auto listed = actionIn<EntriesListed>(follower.pageRead(again->call, {{{"a", "2", 12}}, false, 12}, now));
+    EXPECT_EQ(listed->entries.front().value, "2");
+    EXPECT_LT(now - start, undisturbedTime);
+}
+
 TEST(PrefixFollower, pausesGrowWhileTheStoreIsAway)
 {
     const FollowerSettings settings;
