Entries hear the ranks: load and open groups, waiting at the entry, later registrations replace earlier ones

Built: a registration at the same address replaces the earlier one; EntryNews subscribes to the sides; BackendSet leaves out closed groups, full engines and those that have just refused, and waits 1.5 s at most for the first news of a new engine; WaitingRequests holds requests at the entry for up to a third of their time, by priority. Ruled out: a shared second budget for refusals (they count as arrivals).

--- a/packages/daemon/src/shared/peerlinks.cpp
+++ b/packages/daemon/src/shared/peerlinks.cpp
@@ -1,8 +1,14 @@
 #include "shared/peerlinks.h"
 
+#include "lycheelanding/core/random.h"
+#include "runtime/workerpool.h"
 #include "shared/randomnumbers.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <utility>
 
 namespace lycheelanding::daemon::shared {
 
@@ -17,13 +23,55 @@
 
 } // namespace
 
-PeerLinks::PeerLinks(asio::io_context &context, const wire::Hello &own, const ConfigurationTable &configuration,
-                     PeerLinkHandlers handlers)
+class PeerLinks::Private : public std::enable_shared_from_this<PeerLinks::Private>
+{
+public:
+    Private(asio::io_context &context, const wire::Hello &own, const ConfigurationTable &configuration,
+            PeerLinkHandlers handlers);
+
+    void setTargets(const std::vector<PeerTarget> &targets);
+    wire::PeerConnectionPointer find(const core::VmId &vm) const;
+    std::optional<core::Incarnation> incarnationOf(const core::VmId &vm) const;
+    std::vector<wire::PeerConnectionPointer> all() const;
+
+private:
+    struct Peer
+    {
+        PeerTarget target;
+        wire::PeerConnectionPointer link;
+        std::optional<core::Incarnation> incarnation;
+        std::uint32_t failures = 0;
+        core::TimePoint nextTry;
+        core::TimePoint lastFrame;
+    };
+
+    void check();
+    void openDue();
+    void abortSilent();
+    wire::PeerHandlers handlersFor(const core::VmId &vm);
+    void noteFrame(const core::VmId &vm, const wire::PeerConnectionPointer &link);
+    void received(const core::VmId &vm, const wire::PeerConnectionPointer &link, const wire::Frame &frame);
+    void lost(const core::VmId &vm, const wire::PeerConnectionPointer &link, const core::Error &error);
+    core::Duration pauseAfter(std::uint32_t failures);
+
+    asio::io_context &m_context;
+    const wire::Hello m_own;
+    const ConfigurationTable &m_configuration;
+    PeerLinkHandlers m_handlers;
+    core::SystemClock m_clock;
+    mutable std::mutex m_mutex;
+    std::map<core::VmId, Peer> m_peers;
+    core::RandomSequence m_random;
+    runtime::RepeatingTimer m_timer;
+};
+
+PeerLinks::Private::Private(asio::io_context &context, const wire::Hello &own, const ConfigurationTable &configuration,
+                            PeerLinkHandlers handlers)
     : m_context(context), m_own(own), m_configuration(configuration), m_handlers(std::move(handlers)),
       m_random(randomNumber()), m_timer(context, checkInterval, [this] { check(); })
 { }
 
-void PeerLinks::setTargets(const std::vector<PeerTarget> &targets)
+void PeerLinks::Private::setTargets(const std::vector<PeerTarget> &targets)
 {
     std::vector<wire::PeerConnectionPointer> dropped;
     {
@@ -50,13 +98,13 @@
     openDue();
 }
 
-void PeerLinks::check()
+void PeerLinks::Private::check()
 {
     abortSilent();
     openDue();
 }
 
-void PeerLinks::abortSilent()
+void PeerLinks::Private::abortSilent()
 {
     std::vector<wire::PeerConnectionPointer> silent;
     {
@@ -72,7 +120,7 @@
     }
 }
 
-void PeerLinks::openDue()
+void PeerLinks::Private::openDue()
 {
     const std::scoped_lock lock(m_mutex);
     for (auto &[vm, peer] : m_peers) {
@@ -83,16 +131,30 @@
     }
 }
 
-wire::PeerHandlers PeerLinks::handlersFor(const core::VmId &vm)
+wire::PeerHandlers PeerLinks::Private::handlersFor(const core::VmId &vm)
 {
+    // A connection may end after its owner: a link that was closed is written to the end first.
+    const auto weak = weak_from_this();
     wire::PeerHandlers handlers;
-    handlers.onOpened = [this](const auto &link) { link->send(wire::makeFrame(m_own, m_configuration.version())); };
-    handlers.onFrame = [this, vm](const auto &link, const auto &frame) { received(vm, link, frame); };
-    handlers.onClosed = [this, vm](const auto &link, const auto &error) { lost(vm, link, error); };
+    handlers.onOpened = [weak](const auto &link) {
+        if (const auto self = weak.lock()) {
+            link->send(wire::makeFrame(self->m_own, self->m_configuration.version()));
+        }
+    };
+    handlers.onFrame = [weak, vm](const auto &link, const auto &frame) {
+        if (const auto self = weak.lock()) {
+            self->received(vm, link, frame);
+        }
+    };
+    handlers.onClosed = [weak, vm](const auto &link, const auto &error) {
+        if (const auto self = weak.lock()) {
+            self->lost(vm, link, error);
+        }
+    };
     return handlers;
 }
 
-void PeerLinks::noteFrame(const core::VmId &vm, const wire::PeerConnectionPointer &link)
+void PeerLinks::Private::noteFrame(const core::VmId &vm, const wire::PeerConnectionPointer &link)
 {
     const std::scoped_lock lock(m_mutex);
     const auto found = m_peers.find(vm);
@@ -101,7 +163,8 @@
     }
 }
 
-void PeerLinks::received(const core::VmId &vm, const wire::PeerConnectionPointer &link, const wire::Frame &frame)
+void PeerLinks::Private::received(const core::VmId &vm, const wire::PeerConnectionPointer &link,
+                                  const wire::Frame &frame)
 {
     noteFrame(vm, link);
     if (frame.type != wire::MessageType::Hello) {
@@ -132,7 +195,7 @@
     m_handlers.onFrame(vm, link, frame);
 }
 
-void PeerLinks::lost(const core::VmId &vm, const wire::PeerConnectionPointer &link, const core::Error &error)
+void PeerLinks::Private::lost(const core::VmId &vm, const wire::PeerConnectionPointer &link, const core::Error &error)
 {
     {
         const std::scoped_lock lock(m_mutex);
@@ -147,7 +210,7 @@
     m_handlers.onLost(vm, link, error);
 }
 
-core::Duration PeerLinks::pauseAfter(std::uint32_t failures)
+core::Duration PeerLinks::Private::pauseAfter(std::uint32_t failures)
 {
     constexpr std::uint32_t mostDoublings = 6;
     const auto pause = std::min(shortestPause * (1U << std::min(failures, mostDoublings)), longestPause);
@@ -155,6 +218,44 @@
     return std::chrono::duration_cast<core::Duration>(pause * jitter);
 }
 
+wire::PeerConnectionPointer PeerLinks::Private::find(const core::VmId &vm) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_peers.find(vm);
+    return found != m_peers.end() && found->second.incarnation ? found->second.link : nullptr;
+}
+
+std::optional<core::Incarnation> PeerLinks::Private::incarnationOf(const core::VmId &vm) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_peers.find(vm);
+    return found == m_peers.end() ? std::nullopt : found->second.incarnation;
+}
+
+std::vector<wire::PeerConnectionPointer> PeerLinks::Private::all() const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::vector<wire::PeerConnectionPointer> links;
+    for (const auto &[vm, peer] : m_peers) {
+        if (peer.incarnation) {
+            links.push_back(peer.link);
+        }
+    }
+    return links;
+}
+
+PeerLinks::PeerLinks(asio::io_context &context, const wire::Hello &own, const ConfigurationTable &configuration,
+                     PeerLinkHandlers handlers)
+    : m_d(std::make_shared<Private>(context, own, configuration, std::move(handlers)))
+{ }
+
+PeerLinks::~PeerLinks() = default;
+
+void PeerLinks::setTargets(const std::vector<PeerTarget> &targets)
+{
+    m_d->setTargets(targets);
+}
+
 void PeerLinks::sendToAll(const wire::Frame &frame)
 {
     for (const auto &link : all()) {
@@ -169,28 +270,17 @@
 
 wire::PeerConnectionPointer PeerLinks::find(const core::VmId &vm) const
 {
-    const std::scoped_lock lock(m_mutex);
-    const auto found = m_peers.find(vm);
-    return found != m_peers.end() && found->second.incarnation ? found->second.link : nullptr;
+    return m_d->find(vm);
 }
 
 std::optional<core::Incarnation> PeerLinks::incarnationOf(const core::VmId &vm) const
 {
-    const std::scoped_lock lock(m_mutex);
-    const auto found = m_peers.find(vm);
-    return found == m_peers.end() ? std::nullopt : found->second.incarnation;
+    return m_d->incarnationOf(vm);
 }
 
 std::vector<wire::PeerConnectionPointer> PeerLinks::all() const
 {
-    const std::scoped_lock lock(m_mutex);
-    std::vector<wire::PeerConnectionPointer> links;
-    for (const auto &[vm, peer] : m_peers) {
-        if (peer.incarnation) {
-            links.push_back(peer.link);
-        }
-    }
-    return links;
+    return m_d->all();
 }
 
 } // namespace lycheelanding::daemon::shared
--- a/packages/daemon/src/shared/peerlinks.h
+++ b/packages/daemon/src/shared/peerlinks.h
@@ -2,17 +2,12 @@
 
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/core/ids.h"
-#include "lycheelanding/core/random.h"
 #include "lycheelanding/wire/messages.h"
 #include "lycheelanding/wire/peerconnection.h"
-#include "runtime/workerpool.h"
 #include "shared/configurationtable.h"
 
-#include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <vector>
 
@@ -41,6 +36,9 @@
 public:
     PeerLinks(asio::io_context &context, const wire::Hello &own, const ConfigurationTable &configuration,
               PeerLinkHandlers handlers);
+    ~PeerLinks();
+    PeerLinks(const PeerLinks &) = delete;
+    PeerLinks &operator=(const PeerLinks &) = delete;
 
     /// Opens connections to new targets and closes those to targets no longer named.
     void setTargets(const std::vector<PeerTarget> &targets);
@@ -54,34 +52,9 @@
     std::vector<wire::PeerConnectionPointer> all() const;
 
 private:
-    struct Peer
-    {
-        PeerTarget target;
-        wire::PeerConnectionPointer link;
-        std::optional<core::Incarnation> incarnation;
-        std::uint32_t failures = 0;
-        core::TimePoint nextTry;
-        core::TimePoint lastFrame;
-    };
-
-    void check();
-    void openDue();
-    void abortSilent();
-    wire::PeerHandlers handlersFor(const core::VmId &vm);
-    void noteFrame(const core::VmId &vm, const wire::PeerConnectionPointer &link);
-    void received(const core::VmId &vm, const wire::PeerConnectionPointer &link, const wire::Frame &frame);
-    void lost(const core::VmId &vm, const wire::PeerConnectionPointer &link, const core::Error &error);
-    core::Duration pauseAfter(std::uint32_t failures);
-
-    asio::io_context &m_context;
-    const wire::Hello m_own;
-    const ConfigurationTable &m_configuration;
-    PeerLinkHandlers m_handlers;
-    core::SystemClock m_clock;
-    mutable std::mutex m_mutex;
-    std::map<core::VmId, Peer> m_peers;
-    core::RandomSequence m_random;
-    runtime::RepeatingTimer m_timer;
+    class Private;
+    /// Kept alive by the calls of its connections, which may end later than this object.
+    std::shared_ptr<Private> m_d;
 };
 
 } // namespace lycheelanding::daemon::shared
--- a/packages/daemon/src/side/group/groupmember.h
+++ b/packages/daemon/src/side/group/groupmember.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "runtime/workerpool.h"
 #include "shared/configurationtable.h"
 #include "shared/peerlinks.h"
 #include "side/group/engineorders.h"
--- a/packages/decisions/include/lycheelanding/decisions/membership/backenddirectory.h
+++ b/packages/decisions/include/lycheelanding/decisions/membership/backenddirectory.h
@@ -29,6 +29,8 @@
     /// Requests that it runs at a time; 0 where it does not say.
     std::size_t slots = 0;
     bool isDraining = false;
+    /// Grows with each registration at the registry: of two at one address the later one counts.
+    std::uint64_t revision = 0;
 
     bool operator==(const RegisteredBackend &) const = default;
 };
@@ -47,6 +49,8 @@
     /// The registration lapsed during an outage of the registry and did not return.
     Lapsed,
     Unreadable,
+    /// A later registration has the address.
+    Replaced,
 };
 
 std::string_view nameOf(DirectoryReason reason);
@@ -65,7 +69,8 @@
 using DirectoryChanges = std::vector<DirectoryChange>;
 
 /// Which backend servers may get new work, by a registry that lags, has outages and holds entries of other writers.
-/// A registration that says "draining", or that is removed while the registry is up, ends new work at once.
+/// A registration that says "draining", or that is removed while the registry is up, ends new work at once; so does a
+/// later one at the same address, since a restarted backend server gets a new name and its old one lapses late.
 class BackendDirectory
 {
 public:
@@ -93,6 +98,8 @@
 
     bool isAfterOutage(core::TimePoint now) const;
     void take(const RegisteredBackend &backend, DirectoryChanges &changes);
+    /// Ends what is registered at the same address; false when that is the later registration.
+    bool takeAddress(const RegisteredBackend &backend, DirectoryChanges &changes);
     void miss(const BackendId &id, core::TimePoint now, DirectoryChanges &changes);
     void drop(const BackendId &id, DirectoryReason reason, DirectoryChanges &changes);
 
--- a/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
@@ -65,6 +65,8 @@
     /// True when the backend server may get ordinary requests.
     bool isAvailable(const core::VmId &vm, core::TimePoint now) const;
     std::size_t inFlightRequests(const core::VmId &vm) const;
+    /// Requests that the backend server's busiest rank is likely to have, from all entries.
+    double estimatedRequests(const core::VmId &vm, core::TimePoint now) const;
     std::uint64_t inFlightTokens(const core::VmId &vm) const;
 
 private:
--- a/packages/decisions/src/membership/backenddirectory.cpp
+++ b/packages/decisions/src/membership/backenddirectory.cpp
@@ -10,12 +10,13 @@
 
 namespace {
 
-constexpr std::array<core::NameEntry<DirectoryReason>, 5> reasonNames{{
+constexpr std::array<core::NameEntry<DirectoryReason>, 6> reasonNames{{
     {DirectoryReason::Registered, "registered"},
     {DirectoryReason::Draining, "draining"},
     {DirectoryReason::Removed, "removed"},
     {DirectoryReason::Lapsed, "lapsed"},
     {DirectoryReason::Unreadable, "unreadable"},
+    {DirectoryReason::Replaced, "replaced"},
 }};
 
 } // namespace
@@ -110,15 +111,42 @@
         drop(backend.id, DirectoryReason::Draining, changes);
         return;
     }
+    if (!takeAddress(backend, changes)) {
+        return;
+    }
     const auto known = m_members.find(backend.id);
-    if (known != m_members.end() && known->second.backend == backend) {
+    const bool isKnown = known != m_members.end();
+    if (isKnown) {
+        // The revision changes with every word of the backend server; only other changes are told.
+        known->second.backend.revision = backend.revision;
         known->second.returnsUntil.reset();
+    }
+    if (isKnown && known->second.backend == backend) {
         return;
     }
     m_members[backend.id] = {backend};
     changes.emplace_back(BackendUsable{backend});
 }
 
+bool BackendDirectory::takeAddress(const RegisteredBackend &backend, DirectoryChanges &changes)
+{
+    std::vector<BackendId> earlier;
+    for (const auto &[id, member] : m_members) {
+        if (id == backend.id || member.backend.address != backend.address) {
+            continue;
+        }
+        if (member.backend.revision > backend.revision) {
+            drop(backend.id, DirectoryReason::Replaced, changes);
+            return false;
+        }
+        earlier.push_back(id);
+    }
+    for (const auto &id : earlier) {
+        drop(id, DirectoryReason::Replaced, changes);
+    }
+    return true;
+}
+
 void BackendDirectory::miss(const BackendId &id, core::TimePoint now, DirectoryChanges &changes)
 {
     const auto known = m_members.find(id);
--- a/packages/decisions/src/routing/backendselector.cpp
+++ b/packages/decisions/src/routing/backendselector.cpp
@@ -186,6 +186,18 @@
     return found == m_servers.end() ? 0 : found->second.inFlight;
 }
 
+double BackendSelector::estimatedRequests(const core::VmId &vm, core::TimePoint now) const
+{
+    const auto found = m_servers.find(vm);
+    double most = 0.0;
+    if (found != m_servers.end()) {
+        for (const auto &rank : found->second.ranks) {
+            most = std::max(most, rank.requests.estimate(m_liveEntries, m_settings.reportMemory, now));
+        }
+    }
+    return most;
+}
+
 std::uint64_t BackendSelector::inFlightTokens(const core::VmId &vm) const
 {
     const auto found = m_servers.find(vm);
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace lycheelanding::forwarding {
@@ -39,6 +40,16 @@
     decisions::routing::Choice choice;
 };
 
+/// Load of a backend server that belongs to a rank group.
+struct RankLoad
+{
+    /// Whether its group steps.
+    bool isOpen = true;
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+    core::TimePoint measuredAt;
+};
+
 /// The backend servers that this entry may send to, with the load that it knows of.
 class BackendSet
 {
@@ -46,11 +57,18 @@
     BackendSet(core::DataCentreId ownDataCentre, std::uint64_t seed);
 
     /// Entries with an address that is not an IP number and a port count as unusable.
-    void apply(const decisions::membership::DirectoryChanges &changes);
-    void reportLoad(const BackendId &id, const decisions::routing::LoadReport &report);
+    void apply(const decisions::membership::DirectoryChanges &changes, core::TimePoint now);
+    /// Services whose backend servers belong to rank groups: a new one gets work when its group is known to step, or
+    /// after a short time without news of it.
+    void setGroupedServices(std::set<core::ServiceId> services) { m_groupedServices = std::move(services); }
+    /// Whether news of a backend server of such a service are still awaited.
+    bool isAwaitingNews(const RegisteredBackend &backend, core::TimePoint now) const;
+    /// News of a backend server that belongs to a rank group.
+    void reportRank(const BackendId &id, const RankLoad &load, core::TimePoint now);
     void setLiveEntries(std::size_t entries) { m_selector.setLiveEntries(entries); }
 
-    /// Chooses and counts the attempt; fails with NoBackendServer.
+    /// Chooses and counts the attempt; fails with NoBackendServer, also while all are full, rest after a refusal, or
+    /// belong to groups that do not step.
     core::Result<ChosenBackend> chooseAndSend(const BackendRequest &request, AttemptId attempt, core::TimePoint now);
     void firstEvent(AttemptId attempt, std::uint64_t promptTokens, core::TimePoint now);
     void ended(AttemptId attempt, Outcome outcome, core::TimePoint now);
@@ -61,11 +79,23 @@
     bool isUsed(const asio::ip::tcp::endpoint &endpoint) const;
 
 private:
+    struct Condition
+    {
+        std::optional<RankLoad> load;
+        /// It has refused a request: until when it gets none.
+        core::TimePoint restsUntil;
+        core::TimePoint knownSince;
+    };
+
     void updateCandidates();
+    bool mayTake(const RegisteredBackend &backend, core::TimePoint now) const;
 
     const core::DataCentreId m_ownDataCentre;
     std::map<BackendId, RegisteredBackend> m_backends;
     std::map<BackendId, asio::ip::tcp::endpoint> m_endpoints;
+    std::map<BackendId, Condition> m_conditions;
+    std::set<core::ServiceId> m_groupedServices;
+    std::map<AttemptId, BackendId> m_attempts;
     decisions::routing::BackendSelector m_selector;
 };
 
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -2,6 +2,7 @@
 
 #include "lycheelanding/decisions/membership/entrydrain.h"
 #include "lycheelanding/forwarding/forwardedexchange.h"
+#include "lycheelanding/forwarding/waitingrequests.h"
 
 #include <memory>
 #include <string>
@@ -35,8 +36,10 @@
     /// A version of the configuration was read; a lower one than that in force is ignored.
     void configurationRead(ForwardingConfiguration configuration);
     void backendsChanged(const decisions::membership::DirectoryChanges &changes);
-    void reportLoad(const BackendId &id, const decisions::routing::LoadReport &report);
+    void reportRank(const BackendId &id, const RankLoad &load);
     void setLiveEntries(std::size_t entries) { m_backends.setLiveEntries(entries); }
+    /// Sends waiting requests for which there is a place now; to be called often.
+    void advanceWaiting() { m_waiting.advance(m_clock.now()); }
     /// The registry has been read as a whole at least once.
     void backendsListed() { m_hasBackends = true; }
     /// Ends the entry without cutting off a request; calls `onStopped` when it may exit.
@@ -61,6 +64,7 @@
     BackendSet m_backends;
     RetryBudgets m_retries;
     http::ConnectionPool m_pool;
+    WaitingRequests<ForwardedExchange> m_waiting;
     AttemptId m_lastAttempt;
     RouteTablePointer m_routes;
     bool m_hasBackends = false;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -8,6 +8,7 @@
 #include "lycheelanding/forwarding/requesttext.h"
 #include "lycheelanding/forwarding/retrybudgets.h"
 #include "lycheelanding/forwarding/routetable.h"
+#include "lycheelanding/forwarding/waitingrequests.h"
 #include "lycheelanding/http/connectionpool.h"
 #include "lycheelanding/http/httpserver.h"
 #include "lycheelanding/report/metrics.h"
@@ -22,6 +23,8 @@
 
 namespace lycheelanding::forwarding {
 
+class ForwardedExchange;
+
 /// What all requests of an entry share. Used on one thread.
 struct ForwardingParts
 {
@@ -32,6 +35,7 @@
     http::ConnectionPool &pool;
     EventLog &log;
     report::Metrics &metrics;
+    WaitingRequests<ForwardedExchange> &waiting;
     /// Numbers the attempts of the process.
     AttemptId &lastAttempt;
 };
@@ -45,6 +49,15 @@
                       std::function<void()> onOver);
 
     void start();
+    /// Tries again to find a backend server for a request that waits; false when there is none yet.
+    bool tryAgain();
+    /// Gives up a request that has waited for as long as it may.
+    void stopWaiting();
+    bool isOver() const { return m_isOver; }
+    core::TimePoint waitsUntil() const { return m_waitsUntil; }
+    const core::ServiceId &service() const { return m_service; }
+    std::uint32_t priority() const { return m_priority; }
+
     /// Answers a request that was not looked at: it has not run.
     static void refuse(const http::HttpExchangePointer &exchange, const core::Error &error);
 
@@ -69,6 +82,8 @@
     core::Result<const Route *> findRoute();
     void startTimer();
     void startAttempt();
+    BackendRequest backendRequest() const;
+    void begin(const ChosenBackend &chosen);
     void openConnection();
     void connected(AttemptNumber attempt, const core::Status &status);
     void send();
@@ -113,6 +128,8 @@
     std::string m_attemptName;
     TokenFigures m_tokens;
     core::TimePoint m_deadline;
+    core::TimePoint m_waitsUntil;
+    std::uint32_t m_priority = 0;
     std::optional<decisions::attempts::RequestAttempts> m_attempts;
     std::optional<Attempt> m_attempt;
     std::vector<BackendId> m_tried;
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <utility>
 
 namespace lycheelanding::forwarding {
@@ -11,6 +12,17 @@
 using decisions::membership::BackendUnusable;
 using decisions::membership::BackendUsable;
 
+/// News of a rank that are older say nothing of its group any more; they come five times a second.
+constexpr std::chrono::milliseconds newsLimit{1000};
+/// How long a new backend server of a rank group gets no work while there is no news of it: its side may be gone.
+constexpr std::chrono::milliseconds firstNewsLimit{1500};
+/// Requests that may wait at an engine beyond those that run: enough to fill a place that becomes free at once.
+constexpr double mostWaitingAtEngine = 3.0;
+/// Pause after a backend server has refused a request: about the time in which it ends one.
+constexpr std::chrono::milliseconds refusalPause{150};
+/// Tokens that a running request is likely to have left: half of a usual answer.
+constexpr std::uint64_t tokensLeftOfRunning = 80;
+
 core::VmId selectorName(const BackendId &id)
 {
     return core::VmId(id.text());
@@ -39,12 +51,13 @@
     : m_ownDataCentre(std::move(ownDataCentre)), m_selector(decisions::routing::SelectorSettings(), seed)
 { }
 
-void BackendSet::apply(const decisions::membership::DirectoryChanges &changes)
+void BackendSet::apply(const decisions::membership::DirectoryChanges &changes, core::TimePoint now)
 {
     for (const auto &change : changes) {
         if (const auto *gone = std::get_if<BackendUnusable>(&change)) {
             m_backends.erase(gone->id);
             m_endpoints.erase(gone->id);
+            m_conditions.erase(gone->id);
             continue;
         }
         const auto &backend = std::get<BackendUsable>(change).backend;
@@ -53,6 +66,7 @@
         if (const auto endpoint = endpointFrom(backend.address)) {
             m_backends.emplace(backend.id, backend);
             m_endpoints.emplace(backend.id, *endpoint);
+            m_conditions.insert({backend.id, Condition{std::nullopt, {}, now}});
         }
     }
     if (!changes.empty()) {
@@ -73,9 +87,43 @@
     m_selector.setCandidates(std::move(candidates));
 }
 
-void BackendSet::reportLoad(const BackendId &id, const decisions::routing::LoadReport &report)
+void BackendSet::reportRank(const BackendId &id, const RankLoad &load, core::TimePoint now)
+{
+    if (!m_backends.contains(id)) {
+        return;
+    }
+    m_conditions[id].load = load;
+    decisions::routing::RankLoad rank;
+    rank.queued = load.waiting;
+    rank.running = load.running;
+    rank.outstandingTokens = tokensLeftOfRunning * (load.running + load.waiting);
+    m_selector.reportLoad(selectorName(id), {{rank}, std::min(load.measuredAt, now)});
+}
+
+bool BackendSet::isAwaitingNews(const RegisteredBackend &backend, core::TimePoint now) const
+{
+    const auto found = m_conditions.find(backend.id);
+    return m_groupedServices.contains(backend.service) && found != m_conditions.end() && !found->second.load
+        && now - found->second.knownSince < firstNewsLimit;
+}
+
+bool BackendSet::mayTake(const RegisteredBackend &backend, core::TimePoint now) const
 {
-    m_selector.reportLoad(selectorName(id), report);
+    const auto found = m_conditions.find(backend.id);
+    if (found == m_conditions.end()) {
+        return true;
+    }
+    const auto &condition = found->second;
+    if (now < condition.restsUntil || isAwaitingNews(backend, now)) {
+        return false;
+    }
+    const bool hasNews = condition.load && now - condition.load->measuredAt < newsLimit;
+    if (!hasNews) {
+        return true;
+    }
+    const auto places = static_cast<double>(backend.slots) + mostWaitingAtEngine;
+    const bool hasPlace = backend.slots == 0 || m_selector.estimatedRequests(selectorName(backend.id), now) < places;
+    return condition.load->isOpen && hasPlace;
 }
 
 core::Result<ChosenBackend> BackendSet::chooseAndSend(const BackendRequest &request, AttemptId attempt,
@@ -89,6 +137,11 @@
     for (const auto &id : request.tried) {
         route.excluded.push_back(selectorName(id));
     }
+    for (const auto &[id, backend] : m_backends) {
+        if (backend.service == request.service && !mayTake(backend, now)) {
+            route.excluded.push_back(selectorName(id));
+        }
+    }
     const auto result = m_selector.choose(route, now);
     if (!core::isOk(result)) {
         return core::Error{core::ErrorKind::NoBackendServer, core::errorOf(result).detail,
@@ -97,6 +150,7 @@
     const auto &choice = core::valueOf(result);
     const BackendId id(choice.vm.text());
     m_selector.requestSent(attempt, choice, request.expectedTokens, now);
+    m_attempts[attempt] = id;
     return ChosenBackend{id, m_endpoints.at(id), choice};
 }
 
@@ -108,6 +162,14 @@
 void BackendSet::ended(AttemptId attempt, Outcome outcome, core::TimePoint now)
 {
     m_selector.requestEnded(attempt, outcome, now);
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    if (outcome == Outcome::Refused && m_backends.contains(found->second)) {
+        m_conditions[found->second].restsUntil = now + refusalPause;
+    }
+    m_attempts.erase(found);
 }
 
 std::optional<RegisteredBackend> BackendSet::find(const BackendId &id) const
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheelanding/core/stablehash.h"
 
+#include <set>
 #include <utility>
 
 namespace lycheelanding::forwarding {
@@ -59,6 +60,13 @@
     }
     m_callers.setTimeouts(configuration.limits.headerTimeout, configuration.limits.idleTimeout);
     m_routes = std::make_shared<const RouteTable>(std::move(configuration));
+    std::set<core::ServiceId> grouped;
+    for (const auto &service : m_routes->configuration().services) {
+        if (service.model && service.model->layers > 0) {
+            grouped.insert(service.id);
+        }
+    }
+    m_backends.setGroupedServices(std::move(grouped));
     m_metrics.increment(report::Counter::VersionsInstalled);
     m_metrics.set(report::Gauge::ConfigurationVersion, version.number());
     m_log.write(LogImportance::State, "configurationInstalled",
@@ -84,12 +92,12 @@
                 {{"backend", backend.id.text()}, {"service", backend.service.text()}, {"address", backend.address}});
         }
     }
-    m_backends.apply(changes);
+    m_backends.apply(changes, m_clock.now());
 }
 
-void EntryServer::reportLoad(const BackendId &id, const decisions::routing::LoadReport &report)
+void EntryServer::reportRank(const BackendId &id, const RankLoad &load)
 {
-    m_backends.reportLoad(id, report);
+    m_backends.reportRank(id, load, m_clock.now());
 }
 
 void EntryServer::handleReadiness(const http::HttpExchangePointer &exchange)
@@ -114,10 +122,11 @@
         if (const auto *refused = std::get_if<decisions::membership::RefuseRequest>(&action)) {
             ForwardedExchange::refuse(exchange, {refused->kind, "the entry is stopping"});
         } else if (std::holds_alternative<decisions::membership::AdmitRequest>(action)) {
-            const ForwardingParts parts{m_context, m_settings.names, m_backends,   m_retries, m_pool,
-                                        m_log,     m_metrics,        m_lastAttempt};
+            const ForwardingParts parts{m_context, m_settings.names, m_backends, m_retries,    m_pool,
+                                        m_log,     m_metrics,        m_waiting,  m_lastAttempt};
             std::make_shared<ForwardedExchange>(parts, m_routes, exchange, [this] {
                 carryOut(m_drain.requestFinished(m_clock.now()));
+                advanceWaiting();
             })->start();
         }
     }
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds longestConnect{1000};
 /// Part of the time left that a connection may take to open, so that another backend server can still be asked.
 constexpr int connectPart = 3;
+/// Part of its time that a request may wait for a backend server: what is left has to do for its work, and for coming
+/// back once.
+constexpr int longestWaitPart = 3;
 /// An answer up to this size is gathered before it is passed on: until then another backend server can be asked.
 constexpr std::size_t mostGatheredBytes = 64UL * 1024;
 /// Bytes that wait for a slow caller before the answer is broken off.
@@ -98,6 +101,8 @@
     if (timeLeft) {
         m_deadline = std::min(m_deadline, m_arrival + std::max(*timeLeft - answerMargin, answerMargin));
     }
+    m_waitsUntil = m_arrival + (m_deadline - m_arrival) / longestWaitPart;
+    m_priority = m_routes->priorityFor(*m_route, m_organisation);
     m_attempts.emplace(RequestTraits{m_route->isIdempotent(), m_deadline});
     m_exchange->onCallerGone([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
@@ -118,7 +123,7 @@
     });
 }
 
-void ForwardedExchange::startAttempt()
+BackendRequest ForwardedExchange::backendRequest() const
 {
     BackendRequest request;
     request.service = m_service;
@@ -126,16 +131,40 @@
     request.expectedTokens = std::max<std::uint64_t>(m_tokens.prompt + m_tokens.likelyAnswer, 1);
     request.isIdempotent = m_route->isIdempotent();
     request.tried = m_tried;
+    return request;
+}
+
+void ForwardedExchange::startAttempt()
+{
+    if (m_parts.waiting.hasWaiting(m_service, m_priority) || !tryAgain()) {
+        m_parts.waiting.add(shared_from_this());
+    }
+}
+
+bool ForwardedExchange::tryAgain()
+{
     m_parts.lastAttempt = m_parts.lastAttempt.next();
-    const auto chosen = m_parts.backends.chooseAndSend(request, m_parts.lastAttempt, now());
+    const auto chosen = m_parts.backends.chooseAndSend(backendRequest(), m_parts.lastAttempt, now());
     if (!core::isOk(chosen)) {
-        carryOut(m_attempts->giveUp(core::errorOf(chosen)));
-        return;
+        return false;
     }
+    begin(core::valueOf(chosen));
+    return true;
+}
+
+void ForwardedExchange::stopWaiting()
+{
+    const std::string waited = std::to_string(elapsedMs());
+    carryOut(m_attempts->giveUp(
+        {core::ErrorKind::Overloaded, "no backend server could take the request within " + waited + " ms"}));
+}
+
+void ForwardedExchange::begin(const ChosenBackend &chosen)
+{
     m_attempt.emplace();
     m_attempt->number = m_attempts->attemptStarted();
     m_attempt->id = m_parts.lastAttempt;
-    m_attempt->backend = core::valueOf(chosen);
+    m_attempt->backend = chosen;
     m_attempt->startedAt = now();
     m_tried.push_back(m_attempt->backend.id);
     m_attempt->connection = m_parts.pool.take(m_attempt->backend.endpoint);
--- /dev/null
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/entrynews.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "lycheelanding/forwarding/entryserver.h"
+#include "lycheelanding/rankgroups/datagramsocket.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace lycheelanding::rankgroups {
+
+/// Subscribes an entry to the sides beside its backend servers and passes on what they tell. A side has the IP number
+/// of its backend server. Used on the thread of the io_context.
+class EntryNews
+{
+public:
+    EntryNews(asio::io_context &context, forwarding::EntryServer &entry, std::uint16_t port);
+
+    core::Status open(const std::string &ip);
+
+private:
+    void subscribe();
+    void onNews(const std::string &ip, const RankNews &news);
+
+    forwarding::EntryServer &m_entry;
+    const std::uint16_t m_port;
+    core::SystemClock m_clock;
+    core::TimePoint m_nextRegular;
+    DatagramSocket m_socket;
+    asio::steady_timer m_timer;
+};
+
+} // namespace lycheelanding::rankgroups
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
@@ -21,6 +21,8 @@
 struct RankNews
 {
     RankReport report;
+    /// Entries that the side tells its news.
+    std::uint32_t entries = 0;
     /// Only to leaders: choices since the rank's start; empty when they were not read.
     ChoiceCounts counts;
     /// Only to leaders: the experts of the map in force.
--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -58,7 +58,7 @@
 template <typename Archive>
 void serialize(Archive &archive, RankNews &news)
 {
-    archive(news.report, news.counts, news.held);
+    archive(news.report, news.entries, news.counts, news.held);
 }
 
 template <typename Archive>
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -131,7 +131,7 @@
         readHeldIfDue();
     }
     if (isLeading()) {
-        carryOut(m_leader->newsHeard(m_settings.ip, {m_report, std::exchange(m_counts, {}), m_held}, m_clock.now()));
+        carryOut(m_leader->newsHeard(m_settings.ip, {m_report, 0, std::exchange(m_counts, {}), m_held}, m_clock.now()));
     }
     sendNews();
 }
@@ -204,12 +204,14 @@
     const auto now = m_clock.now();
     std::erase_if(m_subscribers, [now](const auto &entry) { return now >= entry.second.until; });
     const bool hasCounts = !m_counts.empty();
+    const auto entries = static_cast<std::uint32_t>(std::count_if(
+        m_subscribers.begin(), m_subscribers.end(), [](const auto &entry) { return !entry.second.isLeader; }));
     for (auto &[receiver, subscriber] : m_subscribers) {
         if (subscriber.isLeader) {
-            m_socket.send(receiver, RankNews{m_report, m_counts, m_held});
+            m_socket.send(receiver, RankNews{m_report, entries, m_counts, m_held});
         } else if (now >= subscriber.nextNews) {
             subscriber.nextNews = now + newsInterval;
-            m_socket.send(receiver, RankNews{m_report, {}, {}});
+            m_socket.send(receiver, RankNews{m_report, entries, {}, {}});
         }
     }
     if (hasCounts && hasLeaderSubscriber()) {
