Uncrowded engines first, leases of 1 s, silent sides passed over

Full engines (12 places) step so long that a stream pauses over 120 ms while the load of the experts is uneven.

--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/groupleadership.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/groupleadership.h
@@ -13,14 +13,14 @@
 
 struct LeadershipSettings
 {
-    std::chrono::milliseconds timeToLive{2000};
-    core::Duration renewInterval = std::chrono::milliseconds(600);
+    std::chrono::milliseconds timeToLive{1000};
+    core::Duration renewInterval = std::chrono::milliseconds(300);
     /// Silence of a leader after which the member with rank 0 tries to lead; each further rank waits longer, so that
     /// seldom two try at once.
-    core::Duration silence = std::chrono::milliseconds(1000);
-    core::Duration silencePerRank = std::chrono::milliseconds(250);
+    core::Duration silence = std::chrono::milliseconds(800);
+    core::Duration silencePerRank = std::chrono::milliseconds(150);
     /// Pause after a failed try.
-    core::Duration retryPause = std::chrono::milliseconds(1000);
+    core::Duration retryPause = std::chrono::milliseconds(400);
 };
 
 /// Get a lease from the store; answered by leaseGranted() or callFailed().
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -28,6 +28,8 @@
     /// Prompt and answer tokens; 1 for a plain service.
     std::uint64_t expectedTokens = 1;
     bool isIdempotent = false;
+    /// Also to engines that run so much that their steps become long.
+    bool acceptsCrowded = false;
     /// Backend servers that the request was sent to before.
     std::vector<BackendId> tried;
 };
@@ -88,7 +90,7 @@
     };
 
     void updateCandidates();
-    bool mayTake(const RegisteredBackend &backend, core::TimePoint now) const;
+    bool mayTake(const RegisteredBackend &backend, bool acceptsCrowded, core::TimePoint now) const;
 
     const core::DataCentreId m_ownDataCentre;
     std::map<BackendId, RegisteredBackend> m_backends;
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -18,6 +18,9 @@
 constexpr std::chrono::milliseconds firstNewsLimit{1500};
 /// Requests that may wait at an engine beyond those that run: enough to fill a place that becomes free at once.
 constexpr double mostWaitingAtEngine = 3.0;
+/// Part of an engine's places up to which its steps stay short enough for streams without pauses, also while the load
+/// of its experts is uneven.
+constexpr double uncrowdedPart = 0.75;
 /// Pause after a backend server has refused a request: about the time in which it ends one.
 constexpr std::chrono::milliseconds refusalPause{150};
 /// Tokens that a running request is likely to have left: half of a usual answer.
@@ -107,7 +110,7 @@
         && now - found->second.knownSince < firstNewsLimit;
 }
 
-bool BackendSet::mayTake(const RegisteredBackend &backend, core::TimePoint now) const
+bool BackendSet::mayTake(const RegisteredBackend &backend, bool acceptsCrowded, core::TimePoint now) const
 {
     const auto found = m_conditions.find(backend.id);
     if (found == m_conditions.end()) {
@@ -121,7 +124,8 @@
     if (!hasNews) {
         return true;
     }
-    const auto places = static_cast<double>(backend.slots) + mostWaitingAtEngine;
+    const auto slots = static_cast<double>(backend.slots);
+    const double places = acceptsCrowded ? slots + mostWaitingAtEngine : slots * uncrowdedPart;
     const bool hasPlace = backend.slots == 0 || m_selector.estimatedRequests(selectorName(backend.id), now) < places;
     return condition.load->isOpen && hasPlace;
 }
@@ -138,7 +142,7 @@
         route.excluded.push_back(selectorName(id));
     }
     for (const auto &[id, backend] : m_backends) {
-        if (backend.service == request.service && !mayTake(backend, now)) {
+        if (backend.service == request.service && !mayTake(backend, request.acceptsCrowded, now)) {
             route.excluded.push_back(selectorName(id));
         }
     }
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -23,6 +23,8 @@
 /// Part of its time that a request may wait for a backend server: what is left has to do for its work, and for coming
 /// back once.
 constexpr int longestWaitPart = 3;
+/// Part of the target latency that a request waits for an engine with short steps before it accepts any.
+constexpr int uncrowdedWaitPart = 3;
 /// An answer up to this size is gathered before it is passed on: until then another backend server can be asked.
 constexpr std::size_t mostGatheredBytes = 64UL * 1024;
 /// Bytes that wait for a slow caller before the answer is broken off.
@@ -130,6 +132,7 @@
     request.promptTokens = m_tokens.prompt;
     request.expectedTokens = std::max<std::uint64_t>(m_tokens.prompt + m_tokens.likelyAnswer, 1);
     request.isIdempotent = m_route->isIdempotent();
+    request.acceptsCrowded = now() - m_arrival >= m_route->targetLatency / uncrowdedWaitPart;
     request.tried = m_tried;
     return request;
 }
--- a/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
@@ -24,7 +24,9 @@
 /// What a side asks of the engines. Handlers get nothing when there was no answer.
 struct EnginePorts
 {
-    std::function<void(std::function<void(std::optional<RankReport>)>)> readReport;
+    std::function<void(const asio::ip::tcp::endpoint &engine, std::function<void(std::optional<RankReport>)>)>
+        readReport;
+    // Of the engine on the own VM.
     std::function<void(std::function<void(std::optional<ChoiceCounts>)>)> readCounts;
     std::function<void(std::function<void(std::optional<HeldExperts>)>)> readHeldExperts;
     std::function<void(const asio::ip::tcp::endpoint &engine, const AddressedCommand &command,
@@ -109,6 +111,7 @@
     void checkSuspension();
     void readBackendsIfDue();
     void subscribeToMembers();
+    void readSilentMembers();
 
     const SideServerSettings m_settings;
     EnginePorts m_engine;
@@ -131,6 +134,8 @@
     std::unique_ptr<GroupLeader> m_leader;
     /// Engines of the own service by the IP number of their VM.
     std::map<std::string, asio::ip::tcp::endpoint> m_engines;
+    /// When the side on each VM was last heard, or its engine last read.
+    std::map<std::string, core::TimePoint> m_heardAt;
     /// Commands sent to a side since its last reply, by the IP number of its VM.
     std::map<std::string, int> m_unanswered;
     forwarding::SuspensionClock m_suspension;
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -18,13 +18,15 @@
 constexpr std::chrono::milliseconds groupReadInterval{50};
 /// The same while the own process leads a switch: a step is placed by it.
 constexpr std::chrono::milliseconds switchReadInterval{25};
-/// Time between two messages to one subscriber: the load of an engine changes with each request, of which it ends a
-/// few a second.
-constexpr std::chrono::milliseconds newsInterval{200};
+/// Time between two messages to one subscriber: the load of an engine changes with each request, of which it ends
+/// some a second.
+constexpr std::chrono::milliseconds newsInterval{100};
 constexpr std::chrono::milliseconds countsInterval{100};
 constexpr std::chrono::seconds subscriptionTime{3};
-constexpr std::chrono::milliseconds subscribeInterval{500};
+constexpr std::chrono::milliseconds subscribeInterval{300};
 constexpr std::chrono::seconds backendsInterval{5};
+/// Silence of a side after which the leader reads its engine itself.
+constexpr std::chrono::milliseconds sideSilence{400};
 /// Commands without a reply after which a side is passed over.
 constexpr int mostUnanswered = 2;
 
@@ -78,6 +80,7 @@
     if (isLeading()) {
         readBackendsIfDue();
         subscribeToMembers();
+        readSilentMembers();
         carryOut(m_leader->tick(now));
     }
     m_log.flush();
@@ -102,7 +105,7 @@
     if (std::exchange(m_isReading, true)) {
         return;
     }
-    m_engine.readReport([this](const std::optional<RankReport> &report) {
+    m_engine.readReport(m_settings.engine, [this](const std::optional<RankReport> &report) {
         m_isReading = false;
         onReport(report);
     });
@@ -195,6 +198,7 @@
     } else if (const auto *reply = std::get_if<CommandReply>(&datagram)) {
         onReply(ip, *reply);
     } else if (isLeading()) {
+        m_heardAt[ip] = now;
         carryOut(m_leader->newsHeard(ip, std::get<RankNews>(datagram), now));
     }
 }
@@ -377,6 +381,24 @@
     });
 }
 
+void SideServer::readSilentMembers()
+{
+    const auto now = m_clock.now();
+    for (const auto &[ip, engine] : m_engines) {
+        auto &heardAt = m_heardAt[ip];
+        if (ip == m_settings.ip || now - heardAt < sideSilence) {
+            continue;
+        }
+        // Asked again after the same time.
+        heardAt = now;
+        m_engine.readReport(engine, [this, ip](const std::optional<RankReport> &report) {
+            if (report && isLeading()) {
+                carryOut(m_leader->newsHeard(ip, {*report, 0, {}, {}}, m_clock.now()));
+            }
+        });
+    }
+}
+
 void SideServer::subscribeToMembers()
 {
     const auto now = m_clock.now();
