Requests in time go before late ones; commands without an answer stand in the log

Cause: after a power loss the requests of two seconds stood in the queue and made every later one late for four seconds. Tried: late ones only after those in time, engines crowded only after 1.5 s. A reply of None no longer counts as the side's sign of life.

--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -26,6 +27,8 @@
     Go,
 };
 
+std::string_view nameOf(CommandKind kind);
+
 struct EngineCommand
 {
     CommandKind kind = CommandKind::Prepare;
@@ -45,6 +48,8 @@
     None,
 };
 
+std::string_view nameOf(CommandAnswer answer);
+
 /// What the engine says of its rank at one moment.
 struct RankState
 {
--- a/packages/decisions/src/mapswitch/rankcommands.cpp
+++ b/packages/decisions/src/mapswitch/rankcommands.cpp
@@ -1,7 +1,40 @@
 #include "lycheelanding/decisions/mapswitch/rankcommands.h"
 
+#include "lycheelanding/core/nametable.h"
+
+#include <array>
+
 namespace lycheelanding::decisions::mapswitch {
 
+namespace {
+
+constexpr std::array<core::NameEntry<CommandKind>, 5> commandNames{{
+    {CommandKind::Prepare, "prepare"},
+    {CommandKind::Hold, "hold"},
+    {CommandKind::Arm, "arm"},
+    {CommandKind::Disarm, "disarm"},
+    {CommandKind::Go, "go"},
+}};
+
+constexpr std::array<core::NameEntry<CommandAnswer>, 4> answerNames{{
+    {CommandAnswer::Done, "done"},
+    {CommandAnswer::Conflict, "conflict"},
+    {CommandAnswer::Fenced, "fenced"},
+    {CommandAnswer::None, "none"},
+}};
+
+} // namespace
+
+std::string_view nameOf(CommandKind kind)
+{
+    return core::nameIn(commandNames, kind);
+}
+
+std::string_view nameOf(CommandAnswer answer)
+{
+    return core::nameIn(answerNames, answer);
+}
+
 EngineState engineStateOf(const RankState &state)
 {
     EngineState result;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -57,6 +57,8 @@
     core::TimePoint waitsUntil() const { return m_waitsUntil; }
     const core::ServiceId &service() const { return m_service; }
     std::uint32_t priority() const { return m_priority; }
+    /// Whether its answer can no longer begin within the target latency.
+    bool isLate(core::TimePoint time) const { return time >= m_lateFrom; }
 
     /// Answers a request that was not looked at: it has not run.
     static void refuse(const http::HttpExchangePointer &exchange, const core::Error &error);
@@ -129,6 +131,7 @@
     TokenFigures m_tokens;
     core::TimePoint m_deadline;
     core::TimePoint m_waitsUntil;
+    core::TimePoint m_lateFrom;
     std::uint32_t m_priority = 0;
     std::optional<decisions::attempts::RequestAttempts> m_attempts;
     std::optional<Attempt> m_attempt;
--- a/packages/forwarding/include/lycheelanding/forwarding/waitingrequests.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/waitingrequests.h
@@ -3,10 +3,12 @@
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/core/ids.h"
 
+#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <set>
@@ -34,10 +36,14 @@
     {
         constant.priority()
         } -> std::same_as<std::uint32_t>;
+    {
+        constant.isLate(core::TimePoint())
+        } -> std::same_as<bool>;
 };
 
-/// Requests for which no backend server has a place, by service and priority, in the order of their arrival. Used on
-/// one thread.
+/// Requests for which no backend server has a place, by service and priority. Among equals, those that can still be
+/// answered in time go first, in the order of their arrival, and then the late ones: a late answer loses nothing by
+/// coming later, while behind a backlog every further one would be late as well. Used on one thread.
 template <typename Request>
 class WaitingRequests
 {
@@ -52,12 +58,20 @@
         m_queues[{request->service(), request->priority()}].push_back(std::move(request));
     }
 
-    /// Whether a request of the service with this or a more urgent priority waits.
-    bool hasWaiting(const core::ServiceId &service, std::uint32_t priority) const
+    /// Whether a request of the service with this or a more urgent priority waits that is not late.
+    bool hasWaiting(const core::ServiceId &service, std::uint32_t priority, core::TimePoint now) const
     {
-        const auto first = m_queues.lower_bound({service, 0});
-        return !m_isAdvancing && first != m_queues.end() && first->first.first == service
-            && first->first.second <= priority;
+        if (m_isAdvancing) {
+            return false;
+        }
+        for (auto at = m_queues.lower_bound({service, 0});
+             at != m_queues.end() && at->first.first == service && at->first.second <= priority; ++at) {
+            // The last one has waited the shortest time.
+            if (!at->second.empty() && !at->second.back()->isLate(now)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /// Gives up those that have waited for as long as they may, and sends those for which there is a place now. A
@@ -70,12 +84,8 @@
         std::set<core::ServiceId> fullServices;
         for (auto &[key, queue] : m_queues) {
             dropOver(queue, now);
-            while (!queue.empty() && !fullServices.contains(key.first)) {
-                if (!queue.front()->tryAgain()) {
-                    fullServices.insert(key.first);
-                    break;
-                }
-                queue.pop_front();
+            if (!fullServices.contains(key.first) && !sendAll(queue, now)) {
+                fullServices.insert(key.first);
             }
         }
         std::erase_if(m_queues, [](const auto &entry) { return entry.second.empty(); });
@@ -98,6 +108,25 @@
 private:
     using Queue = std::deque<std::shared_ptr<Request>>;
 
+    /// False once there is no place; what is left waits on.
+    static bool sendAll(Queue &queue, core::TimePoint now)
+    {
+        const auto firstInTime
+            = std::find_if(queue.begin(), queue.end(), [now](const auto &request) { return !request->isLate(now); });
+        std::rotate(queue.begin(), firstInTime, queue.end());
+        const auto inTimeCount = static_cast<std::size_t>(std::distance(firstInTime, queue.end()));
+        std::size_t sent = 0;
+        while (sent < queue.size() && queue[sent]->tryAgain()) {
+            ++sent;
+        }
+        const bool hasPlace = sent == queue.size();
+        // Back into the order of arrival, without those that were sent.
+        const auto inTimeLeft = static_cast<std::ptrdiff_t>(inTimeCount - std::min(inTimeCount, sent));
+        queue.erase(queue.begin(), queue.begin() + static_cast<std::ptrdiff_t>(sent));
+        std::rotate(queue.begin(), queue.begin() + inTimeLeft, queue.end());
+        return hasPlace;
+    }
+
     static void dropOver(Queue &queue, core::TimePoint now)
     {
         Queue kept;
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -20,11 +20,15 @@
 constexpr std::chrono::milliseconds longestConnect{1000};
 /// Part of the time left that a connection may take to open, so that another backend server can still be asked.
 constexpr int connectPart = 3;
-/// Part of its time that a request may wait for a backend server: what is left has to do for its work, and for coming
-/// back once.
-constexpr int longestWaitPart = 3;
-/// Part of the target latency that a request waits for an engine with short steps before it accepts any.
-constexpr int uncrowdedWaitPart = 3;
+/// Part of its time, in percent, that a request may wait for a backend server: what is left has to do for its work, and
+/// for coming back once.
+constexpr int longestWaitPercent = 50;
+/// Part of the target latency, in percent, after which a waiting request is taken to be late: the engine needs the rest
+/// to read the prompt.
+constexpr int inTimePercent = 60;
+/// How long a request waits for an engine with short steps before it accepts any; a backlog that lasts longer asks for
+/// all that the engines can do.
+constexpr std::chrono::milliseconds uncrowdedWait{1500};
 /// An answer up to this size is gathered before it is passed on: until then another backend server can be asked.
 constexpr std::size_t mostGatheredBytes = 64UL * 1024;
 /// Bytes that wait for a slow caller before the answer is broken off.
@@ -103,7 +107,8 @@
     if (timeLeft) {
         m_deadline = std::min(m_deadline, m_arrival + std::max(*timeLeft - answerMargin, answerMargin));
     }
-    m_waitsUntil = m_arrival + (m_deadline - m_arrival) / longestWaitPart;
+    m_waitsUntil = m_arrival + (m_deadline - m_arrival) * longestWaitPercent / 100;
+    m_lateFrom = m_arrival + m_route->targetLatency * inTimePercent / 100;
     m_priority = m_routes->priorityFor(*m_route, m_organisation);
     m_attempts.emplace(RequestTraits{m_route->isIdempotent(), m_deadline});
     m_exchange->onCallerGone([weak = weak_from_this()] {
@@ -132,14 +137,14 @@
     request.promptTokens = m_tokens.prompt;
     request.expectedTokens = std::max<std::uint64_t>(m_tokens.prompt + m_tokens.likelyAnswer, 1);
     request.isIdempotent = m_route->isIdempotent();
-    request.acceptsCrowded = now() - m_arrival >= m_route->targetLatency / uncrowdedWaitPart;
+    request.acceptsCrowded = now() - m_arrival >= uncrowdedWait;
     request.tried = m_tried;
     return request;
 }
 
 void ForwardedExchange::startAttempt()
 {
-    if (m_parts.waiting.hasWaiting(m_service, m_priority) || !tryAgain()) {
+    if (m_parts.waiting.hasWaiting(m_service, m_priority, now()) || !tryAgain()) {
         m_parts.waiting.add(shared_from_this());
     }
 }
--- a/packages/forwarding/tests/waitingrequeststest.cpp
+++ b/packages/forwarding/tests/waitingrequeststest.cpp
@@ -36,10 +36,12 @@
     core::TimePoint waitsUntil() const { return until; }
     const core::ServiceId &service() const { return drafts; }
     std::uint32_t priority() const { return rank; }
+    bool isLate(core::TimePoint now) const { return now > lateFrom; }
 
     std::string name;
     std::uint32_t rank = 0;
     core::TimePoint until = start + 1s;
+    core::TimePoint lateFrom = start + 1s;
     int *places = nullptr;
     std::vector<std::string> *order = nullptr;
     std::function<void()> onEnd = nullptr;
@@ -76,8 +78,8 @@
     queues.places = 2;
     queues.waiting.advance(start);
     EXPECT_EQ(queues.order, (std::vector<std::string>{"first", "second"}));
-    EXPECT_TRUE(queues.waiting.hasWaiting(drafts, 2));
-    EXPECT_FALSE(queues.waiting.hasWaiting(drafts, 1));
+    EXPECT_TRUE(queues.waiting.hasWaiting(drafts, 2, start));
+    EXPECT_FALSE(queues.waiting.hasWaiting(drafts, 1, start));
 }
 
 TEST(WaitingRequests, thoseThatHaveWaitedLongEnoughAreGivenUpAndEndedOnesForgotten)
@@ -91,6 +93,25 @@
     EXPECT_EQ(queues.waiting.size(), 0U);
 }
 
+/// After a power loss the requests of two seconds stood in the queue and made every later one late for four seconds.
+TEST(WaitingRequests, backlogAfterAPowerLossDoesNotMakeLaterRequestsLate)
+{
+    Queues queues;
+    for (const char *name : {"late-1", "late-2", "late-3"}) {
+        queues.add(name)->lateFrom = start - 1s;
+    }
+    queues.add("fresh-1");
+    EXPECT_TRUE(queues.waiting.hasWaiting(drafts, 0, start));
+    queues.places = 2;
+    queues.waiting.advance(start);
+    EXPECT_EQ(queues.order, (std::vector<std::string>{"fresh-1", "late-1"}));
+    EXPECT_FALSE(queues.waiting.hasWaiting(drafts, 0, start));
+    queues.add("fresh-2");
+    queues.places = 3;
+    queues.waiting.advance(start);
+    EXPECT_EQ(queues.order, (std::vector<std::string>{"fresh-1", "late-1", "fresh-2", "late-2", "late-3"}));
+}
+
 /// A given-up request ended and called advance() within advance(): an entry crashed on a day with a power loss.
 TEST(WaitingRequests, requestThatEndsWhileTheQueuesAdvanceMayCallBack)
 {
--- a/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lycheelanding::rankgroups {
@@ -104,6 +105,8 @@
     void carryOut(const decisions::mapswitch::LostLeadership &action);
     void carryOut(const LeaderActions &actions);
     void command(const CommandEngine &action);
+    void logCommand(std::string_view event, const std::string &ip, const decisions::mapswitch::EngineCommand &command,
+                    decisions::mapswitch::CommandAnswer answer);
     void commandDirectly(const CommandEngine &action, const asio::ip::tcp::endpoint &engine);
     void carryOutOrder(const asio::ip::udp::endpoint &sender, const CommandOrder &order);
     void onReply(const std::string &ip, const CommandReply &reply);
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -320,7 +320,11 @@
         return;
     }
     // Orders are cheap from an engine's own VM. Without a reply its side may be gone, though the engine is not.
-    if (m_unanswered[action.ip]++ < mostUnanswered) {
+    const int unanswered = m_unanswered[action.ip]++;
+    if (unanswered > 0) {
+        logCommand("commandRepeated", action.ip, action.command.command, CommandAnswer::None);
+    }
+    if (unanswered < mostUnanswered) {
         m_socket.send({asio::ip::make_address(action.ip), m_settings.datagramPort},
                       CommandOrder{action.number, action.command});
         return;
@@ -331,6 +335,17 @@
     }
 }
 
+void SideServer::logCommand(std::string_view event, const std::string &ip, const EngineCommand &command,
+                            CommandAnswer answer)
+{
+    m_log.write(LogImportance::State, event,
+                {{"engine", ip},
+                 {"command", nameOf(command.kind)},
+                 {"answer", nameOf(answer)},
+                 {"map", numberOf(command.map)},
+                 {"step", static_cast<std::int64_t>(command.step.number())}});
+}
+
 void SideServer::commandDirectly(const CommandEngine &action, const asio::ip::tcp::endpoint &engine)
 {
     m_engine.command(
@@ -343,16 +358,21 @@
 void SideServer::carryOutOrder(const asio::ip::udp::endpoint &sender, const CommandOrder &order)
 {
     m_engine.command(m_settings.engine, order.command,
-                     [this, sender, number = order.number, fence = order.command.fence](CommandAnswer answer) {
+                     [this, sender, number = order.number, command = order.command](CommandAnswer answer) {
+                         if (answer != CommandAnswer::Done) {
+                             logCommand("commandRefused", m_settings.ip, command.command, answer);
+                         }
                          if (answer != CommandAnswer::None) {
-                             m_socket.send(sender, CommandReply{number, fence, answer});
+                             m_socket.send(sender, CommandReply{number, command.fence, answer});
                          }
                      });
 }
 
 void SideServer::onReply(const std::string &ip, const CommandReply &reply)
 {
-    m_unanswered[ip] = 0;
+    if (reply.answer != CommandAnswer::None) {
+        m_unanswered[ip] = 0;
+    }
     checkSuspension();
     if (isLeading() && m_leadership.fence() == reply.fence) {
         carryOut(m_leader->answered(ip, reply.number, reply.answer, m_clock.now()));
