--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -45,6 +45,8 @@
     /// Ends the entry without cutting off a request; calls `onStopped` when it may exit.
     void stop(std::function<void()> onStopped);
 
+    /// The bound port; valid after start().
+    std::uint16_t callersPort() const { return m_callers.port(); }
     bool isReady() const { return m_routes && m_hasBackends && m_drain.isReady(); }
     const BackendSet &backends() const { return m_backends; }
     const RouteTablePointer &routes() const { return m_routes; }
--- /dev/null
+++ b/packages/forwarding/tests/entryworld.h
@@ -0,0 +1,218 @@
+#pragma once
+
+#include "lycheelanding/forwarding/entryserver.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lycheelanding::forwarding {
+
+/// What a fake backend server does with a request.
+struct Reaction
+{
+    std::string bytes;
+    bool isClosed = false;
+    bool isReset = false;
+};
+
+/// A backend server that reacts to each request head as the test says. Bodies are short and come with the head.
+class FakeBackend
+{
+public:
+    using Script = std::function<Reaction(const std::string &request)>;
+
+    FakeBackend(asio::io_context &context, Script script)
+        : m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}), m_script(std::move(script))
+    {
+        accept();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+    std::size_t connectionCount() const { return m_connections; }
+
+    std::vector<std::string> requests;
+    int endedConnections = 0;
+
+private:
+    struct Connection
+    {
+        explicit Connection(asio::ip::tcp::socket accepted) : socket(std::move(accepted)) { }
+        asio::ip::tcp::socket socket;
+        std::array<char, 8192> buffer{};
+        std::string output;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const auto &error, asio::ip::tcp::socket socket) {
+            if (!error) {
+                ++m_connections;
+                read(std::make_shared<Connection>(std::move(socket)));
+                accept();
+            }
+        });
+    }
+
+    void read(const std::shared_ptr<Connection> &connection)
+    {
+        connection->socket.async_read_some(asio::buffer(connection->buffer),
+                                           [this, connection](const auto &error, auto size) {
+                                               if (error) {
+                                                   ++endedConnections;
+                                                   return;
+                                               }
+                                               requests.emplace_back(connection->buffer.data(), size);
+                                               react(connection, m_script(requests.back()));
+                                           });
+    }
+
+    void react(const std::shared_ptr<Connection> &connection, const Reaction &reaction)
+    {
+        connection->output = reaction.bytes;
+        asio::async_write(connection->socket, asio::buffer(connection->output),
+                          [this, connection, reaction](const auto &, auto) {
+                              if (reaction.isReset) {
+                                  connection->socket.set_option(asio::socket_base::linger(true, 0));
+                              }
+                              if (reaction.isClosed || reaction.isReset) {
+                                  connection->socket.close();
+                                  return;
+                              }
+                              read(connection);
+                          });
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    const Script m_script;
+    std::size_t m_connections = 0;
+};
+
+/// An entry with fake backend servers and callers, all on one thread.
+class EntryWorld
+{
+public:
+    EntryWorld() : m_log(-1, "entry"), m_entry(m_context, settings(), m_log)
+    {
+        isStarted = core::isOk(m_entry.start());
+    }
+
+    void configure(RouteKind kind, std::chrono::milliseconds timeout = std::chrono::seconds(10),
+                   std::uint32_t maxAttempts = 2)
+    {
+        ForwardingConfiguration configuration;
+        configuration.version = core::ConfigurationVersion(++m_version);
+        Route route;
+        route.host = "a.example";
+        route.prefix = "/x/";
+        route.kind = kind;
+        route.services = {{core::ServiceId("app"), 1}};
+        route.timeout = timeout;
+        route.maxAttempts = maxAttempts;
+        route.isResumable = kind == RouteKind::Stream;
+        configuration.routes = {route};
+        configuration.hasOrganisations = true;
+        configuration.organisationOfKey = {{"secret", core::OrganisationId("club")}};
+        m_entry.configurationRead(configuration);
+    }
+
+    FakeBackend &addBackend(FakeBackend::Script script)
+    {
+        m_backends.push_back(std::make_unique<FakeBackend>(m_context, std::move(script)));
+        decisions::membership::RegisteredBackend backend;
+        backend.id = BackendId("backend-" + std::to_string(m_backends.size()));
+        backend.service = core::ServiceId("app");
+        backend.address = m_backends.back()->address();
+        m_entry.backendsChanged({decisions::membership::BackendUsable{backend}});
+        m_entry.backendsListed();
+        return *m_backends.back();
+    }
+
+    asio::ip::tcp::socket connect()
+    {
+        asio::ip::tcp::socket socket(m_context);
+        socket.connect({asio::ip::make_address("127.0.0.1"), m_entry.callersPort()});
+        return socket;
+    }
+
+    /// Sends `request` on a new connection and gathers what comes until the entry ends the connection.
+    std::string exchange(const std::string &request)
+    {
+        auto socket = connect();
+        asio::write(socket, asio::buffer(request));
+        std::string answer;
+        bool isOver = false;
+        asio::async_read(socket, asio::dynamic_buffer(answer), [&isOver](const auto &, auto) { isOver = true; });
+        runUntil([&isOver] { return isOver; });
+        return answer;
+    }
+
+    /// Runs the world until the condition holds; the bound only ends a test that would hang.
+    template <typename Condition>
+    bool runUntil(Condition condition)
+    {
+        constexpr int mostRounds = 3000;
+        for (int round = 0; round < mostRounds && !condition(); ++round) {
+            m_context.run_one_for(std::chrono::milliseconds(10));
+            m_context.restart();
+            m_entry.advanceWaiting();
+        }
+        return condition();
+    }
+
+    EntryServer &entry() { return m_entry; }
+
+    bool isStarted = false;
+
+private:
+    static EntryServerSettings settings()
+    {
+        EntryServerSettings settings;
+        const auto address = asio::ip::make_address("127.0.0.1");
+        settings.callers = {address, 0};
+        settings.readiness = {address, 0};
+        settings.process = "entry";
+        settings.names.attempt = "Attempt";
+        settings.names.timeLeft = "Time-Left";
+        settings.names.key = "Key";
+        settings.names.organisation = "Organisation";
+        settings.names.expectedBackend = "Expected";
+        settings.names.backend = "Backend";
+        settings.names.notRun = "Not-Run";
+        settings.names.proof = "Proof";
+        settings.names.tokens = "Tokens";
+        settings.names.lengthHint = "Hint";
+        return settings;
+    }
+
+    asio::io_context m_context{1};
+    EventLog m_log;
+    EntryServer m_entry;
+    std::uint64_t m_version = 0;
+    std::vector<std::unique_ptr<FakeBackend>> m_backends;
+};
+
+/// A request that ends its connection with the answer.
+inline std::string callerRequest(const std::string &method, const std::string &body = {},
+                                 const std::string &fields = {})
+{
+    return method
+        + " /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt: 77\r\nTime-Left: 10000\r\nKey: secret\r\n"
+          "Connection: close\r\n"
+        + fields + (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" + body;
+}
+
+inline std::string backendAnswer(const std::string &body, const std::string &fields = "Proof: p\r\nAttempt: 77\r\n")
+{
+    return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace lycheelanding::forwarding
