A new leader fences every engine before it believes its state

Ruled out: the coordinator (its promise rests on gates that drop earlier orders; here the engine is what has to). Now: each engine is shown the number by a command without an effect, and its state counts when it was read 400 ms later.

--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
@@ -94,8 +94,11 @@
 { };
 struct FencedOff
 { };
+/// The engine has seen the leader's fencing number: it obeys no earlier leader any more.
+struct EngineFenced
+{ };
 using RankCommandAction
-    = std::variant<SendCommand, MapStaged, MapStageFailed, StepHeld, HoldRefused, StateLost, FencedOff>;
+    = std::variant<SendCommand, MapStaged, MapStageFailed, StepHeld, HoldRefused, StateLost, FencedOff, EngineFenced>;
 using RankCommandActions = std::vector<RankCommandAction>;
 
 struct RankCommandSettings
@@ -112,6 +115,9 @@
 public:
     explicit RankCommands(const RankCommandSettings &settings) : m_settings(settings) { }
 
+    /// Shows the engine the leader's fencing number by a command without an effect. A state that is read afterwards
+    /// holds until this leader changes it.
+    RankCommandActions fence(core::Generation generation, core::TimePoint now);
     RankCommandActions carryOut(const StageMap &order, core::TimePoint now);
     RankCommandActions carryOut(const HoldAt &order, core::TimePoint now);
     RankCommandActions carryOut(const UseFrom &order, core::TimePoint now);
@@ -131,6 +137,7 @@
 
     const RankCommandSettings m_settings;
     std::deque<EngineCommand> m_queue;
+    bool m_isFencing = false;
     std::uint64_t m_number = 0;
     core::TimePoint m_sentAt;
     /// The first command was refused for a reason that the next look at the engine tells.
--- a/packages/decisions/src/mapswitch/rankcommands.cpp
+++ b/packages/decisions/src/mapswitch/rankcommands.cpp
@@ -53,6 +53,15 @@
     return result;
 }
 
+RankCommandActions RankCommands::fence(core::Generation generation, core::TimePoint now)
+{
+    RankCommandActions actions;
+    m_isFencing = true;
+    // No step is numbered 0, so there is nothing that this lets go.
+    add({CommandKind::Go, generation, {}, core::StepNumber(0)}, now, actions);
+    return actions;
+}
+
 RankCommandActions RankCommands::carryOut(const StageMap &order, core::TimePoint now)
 {
     RankCommandActions actions;
@@ -203,6 +212,9 @@
     m_queue.pop_front();
     if (command.kind == CommandKind::Hold) {
         actions.emplace_back(StepHeld{command.step});
+    } else if (m_isFencing && command.kind == CommandKind::Go) {
+        m_isFencing = false;
+        actions.emplace_back(EngineFenced{});
     }
     sendFirst(now, actions);
 }
--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
@@ -40,7 +40,8 @@
     GroupSwitch(decisions::mapswitch::FencingNumber fence, const std::vector<decisions::mapswitch::RankState> &ranks,
                 core::TimePoint now);
 
-    /// Opens the sessions: the coordinator finds out what an earlier leader has left.
+    /// Shows every engine the leader's fencing number; a rank's session is opened with a state that was read after
+    /// that, so that the coordinator finds out what an earlier leader has left and nothing of it comes later.
     GroupSwitchActions start(core::TimePoint now);
     /// Begins a switch to the map, which gets a version of its own; does nothing unless isIdle().
     GroupSwitchActions switchTo(decisions::experts::ExpertMap map, core::TimePoint now);
@@ -64,7 +65,9 @@
         decisions::mapswitch::RankGate gate;
         decisions::mapswitch::RankCommands commands;
         decisions::mapswitch::RankState state;
+        /// 0 until it is opened.
         std::uint64_t session = 0;
+        std::optional<core::TimePoint> fencedAt = std::nullopt;
     };
 
     void openSession(std::size_t rank, core::TimePoint now, GroupSwitchActions &actions);
--- a/packages/rankgroups/src/groupswitch.cpp
+++ b/packages/rankgroups/src/groupswitch.cpp
@@ -11,6 +11,8 @@
 
 /// Maps that one leader may make; versions of a later leader are higher because its fencing number is.
 constexpr std::uint64_t versionsPerLeader = 1024;
+/// Age that the news of a rank may have: engines report to other VMs with a lag of some hundred milliseconds.
+constexpr std::chrono::milliseconds reportLag{400};
 /// Maps whose content is remembered: the one in force, the next one and some that were withdrawn.
 constexpr std::size_t mostContents = 6;
 
@@ -64,7 +66,7 @@
 {
     GroupSwitchActions actions;
     for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
-        openSession(rank, now, actions);
+        carryOut(rank, m_ranks[rank].commands.fence(m_generation, now), now, actions);
     }
     return actions;
 }
@@ -130,10 +132,18 @@
     }
     Rank &member = m_ranks[index];
     member.state = state;
+    if (member.session == 0) {
+        if (member.fencedAt && now - *member.fencedAt >= reportLag) {
+            openSession(index, now, actions);
+        }
+        return actions;
+    }
     // The ranks of a group begin a step together, so the newest word counts for all.
     m_step = std::max(m_step, state.step);
     for (std::size_t each = 0; each < m_ranks.size(); ++each) {
-        carryOut(each, m_ranks[each].gate.engineStepped(m_step.next()), now, actions);
+        if (m_ranks[each].session != 0) {
+            carryOut(each, m_ranks[each].gate.engineStepped(m_step.next()), now, actions);
+        }
     }
     carryOut(index, member.commands.stateRead(state, now), now, actions);
     if (needsNewSession(member)) {
@@ -216,6 +226,8 @@
             carryOut(rank, gate.engineHoldRefused(refused->step), now, actions);
         } else if (std::holds_alternative<StateLost>(action)) {
             openSession(rank, now, actions);
+        } else if (std::holds_alternative<EngineFenced>(action)) {
+            m_ranks[rank].fencedAt = now;
         } else {
             actions.emplace_back(LeaderFenced{});
         }
--- /dev/null
+++ b/packages/rankgroups/tests/fakerankgroup.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "lycheelanding/rankgroups/rankreport.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace lycheelanding::rankgroups {
+
+/// Engines of one group that arm maps, by the rules of their interface: a step begins on all ranks together, unless one
+/// of them holds it, and a rank switches to its armed map as that step begins.
+class FakeRankGroup
+{
+public:
+    using CommandAnswer = decisions::mapswitch::CommandAnswer;
+    using CommandKind = decisions::mapswitch::CommandKind;
+    using RankState = decisions::mapswitch::RankState;
+
+    FakeRankGroup(std::size_t size, bool checksFences) : m_ranks(size), m_checksFences(checksFences) { form(); }
+
+    /// The group forms anew: map 0, nothing prepared, armed or held.
+    void form()
+    {
+        ++m_generation;
+        for (auto &rank : m_ranks) {
+            rank = Rank();
+        }
+    }
+
+    /// Begins the next step unless it is held. False when it begins while two ranks have different maps.
+    bool step()
+    {
+        const core::StepNumber next(m_step + 1);
+        const bool isHeld
+            = std::any_of(m_ranks.begin(), m_ranks.end(), [next](const Rank &rank) { return rank.held == next; });
+        if (isHeld) {
+            return true;
+        }
+        ++m_step;
+        for (auto &rank : m_ranks) {
+            if (rank.armed && rank.armed->step == next) {
+                rank.map = rank.armed->map;
+                rank.armed.reset();
+            }
+            if (rank.copyStepsLeft > 0 && --rank.copyStepsLeft == 0) {
+                rank.prepared = rank.highest;
+            }
+        }
+        return std::all_of(m_ranks.begin(), m_ranks.end(),
+                           [this](const Rank &rank) { return rank.map == m_ranks.front().map; });
+    }
+
+    CommandAnswer carryOut(std::size_t index, const AddressedCommand &addressed)
+    {
+        Rank &rank = m_ranks[index];
+        const auto &command = addressed.command;
+        if (m_checksFences && addressed.fence.number() < rank.fence) {
+            return CommandAnswer::Fenced;
+        }
+        if (command.generation.number() != m_generation) {
+            return CommandAnswer::Conflict;
+        }
+        rank.fence = std::max(rank.fence, addressed.fence.number());
+        switch (command.kind) {
+        case CommandKind::Prepare:
+            return prepare(rank, command.map);
+        case CommandKind::Hold:
+            return hold(rank, command.step);
+        case CommandKind::Arm:
+            return arm(rank, command.map, command.step);
+        case CommandKind::Disarm:
+            if (rank.map == command.map) {
+                return CommandAnswer::Conflict;
+            }
+            if (rank.armed && rank.armed->map == command.map) {
+                rank.armed.reset();
+            }
+            return CommandAnswer::Done;
+        case CommandKind::Go:
+            if (rank.held == command.step) {
+                rank.held.reset();
+            }
+            return CommandAnswer::Done;
+        }
+        return CommandAnswer::Conflict;
+    }
+
+    RankState state(std::size_t index) const
+    {
+        const Rank &rank = m_ranks[index];
+        return {
+            core::Generation(m_generation), core::StepNumber(m_step), rank.map, rank.prepared, rank.armed, rank.held};
+    }
+
+    std::size_t size() const { return m_ranks.size(); }
+    std::uint64_t currentStep() const { return m_step; }
+
+private:
+    struct Rank
+    {
+        core::MapVersion map;
+        core::MapVersion highest;
+        std::optional<core::MapVersion> prepared;
+        std::optional<decisions::mapswitch::MapUse> armed;
+        std::optional<core::StepNumber> held;
+        int copyStepsLeft = 0;
+        std::uint64_t fence = 0;
+    };
+
+    CommandAnswer prepare(Rank &rank, core::MapVersion map)
+    {
+        constexpr int copySteps = 3;
+        if (map == rank.highest && !rank.armed) {
+            return CommandAnswer::Done;
+        }
+        if (map < rank.highest || rank.armed) {
+            return CommandAnswer::Conflict;
+        }
+        rank.highest = map;
+        rank.prepared.reset();
+        rank.copyStepsLeft = copySteps;
+        return CommandAnswer::Done;
+    }
+
+    CommandAnswer hold(Rank &rank, core::StepNumber step) const
+    {
+        if (rank.held == step) {
+            return CommandAnswer::Done;
+        }
+        if (rank.held || step.number() <= m_step) {
+            return CommandAnswer::Conflict;
+        }
+        rank.held = step;
+        return CommandAnswer::Done;
+    }
+
+    CommandAnswer arm(Rank &rank, core::MapVersion map, core::StepNumber step) const
+    {
+        if (rank.armed && rank.armed->map == map && rank.armed->step == step) {
+            return CommandAnswer::Done;
+        }
+        if (rank.prepared != map || step.number() <= m_step) {
+            return CommandAnswer::Conflict;
+        }
+        rank.armed = {map, step};
+        return CommandAnswer::Done;
+    }
+
+    std::vector<Rank> m_ranks;
+    const bool m_checksFences;
+    std::uint64_t m_generation = 0;
+    std::uint64_t m_step = 10;
+};
+
+} // namespace lycheelanding::rankgroups
