--- a/packages/daemon/app/main.cpp
+++ b/packages/daemon/app/main.cpp
@@ -45,6 +45,18 @@
     return core::isOk(status) ? EXIT_SUCCESS : reportFault(core::errorOf(status).detail);
 }
 
+/// Runs one role with the settings that the users' platform gives.
+int runOnPlatform(const std::string &role)
+{
+    if (role == "entry") {
+        return platform::runEntry();
+    }
+    if (role == "side") {
+        return platform::runSide();
+    }
+    return reportFault("role \"" + role + "\" is neither entry nor side");
+}
+
 cxxopts::Options commandLine()
 {
     cxxopts::Options options("lycheelandingd", "Load balancer for expert-parallel model groups.\n");
@@ -73,12 +85,8 @@
         std::cout << "lycheelandingd " << core::versionText << std::endl;
         return EXIT_SUCCESS;
     }
-    const auto platformRole = arguments.count("platform") > 0 && arguments.count("role") > 0;
-    if (platformRole && arguments["role"].as<std::string>() == "entry") {
-        return platform::runEntry();
-    }
-    if (platformRole && arguments["role"].as<std::string>() == "side") {
-        return platform::runSide();
+    if (arguments.count("platform") > 0) {
+        return runOnPlatform(arguments.count("role") > 0 ? arguments["role"].as<std::string>() : std::string());
     }
     if (arguments.count("role") == 0 || arguments.count("settings") == 0) {
         return reportFault("usage: lycheelandingd entry|side --settings FILE [--check] or entry|side --platform");
--- a/packages/daemon/src/entry/backendtable.cpp
+++ b/packages/daemon/src/entry/backendtable.cpp
@@ -33,16 +33,16 @@
     updateCandidates(m_clock.now());
 }
 
-void BackendTable::setVms(const std::vector<platform::VmRow> &rows)
+void BackendTable::setVms(const std::vector<services::VmRow> &rows)
 {
     const std::scoped_lock lock(m_mutex);
     std::vector<decisions::membership::ListedVm> listed;
     for (const auto &row : rows) {
-        if (row.role != platform::VmRole::Backend) {
+        if (row.role != services::VmRole::Backend) {
             continue;
         }
         m_members[row.vm].dataCentre = row.dataCentre;
-        const bool isLeaving = row.state == platform::VmState::Leaving;
+        const bool isLeaving = row.state == services::VmState::Leaving;
         listed.push_back(
             {row.vm, isLeaving ? decisions::membership::VmState::Leaving : decisions::membership::VmState::Live});
     }
--- a/packages/daemon/src/entry/backendtable.h
+++ b/packages/daemon/src/entry/backendtable.h
@@ -5,7 +5,7 @@
 #include "lycheelanding/decisions/admission/concurrencylimits.h"
 #include "lycheelanding/decisions/membership/backendmembership.h"
 #include "lycheelanding/decisions/routing/backendselector.h"
-#include "lycheelanding/platform/vmlist.h"
+#include "lycheelanding/services/vmlist.h"
 #include "lycheelanding/wire/messages.h"
 
 #include <cstddef>
@@ -38,7 +38,7 @@
     explicit BackendTable(std::uint64_t seed);
 
     void setConfiguration(const configuration::Document &document);
-    void setVms(const std::vector<platform::VmRow> &rows);
+    void setVms(const std::vector<services::VmRow> &rows);
     void setLiveEntries(std::size_t entries);
     void heartbeat(const core::VmId &vm, core::Incarnation incarnation, const wire::Heartbeat &heartbeat);
     void linkLost(const core::VmId &vm);
--- a/packages/daemon/src/entry/claimservice.cpp
+++ b/packages/daemon/src/entry/claimservice.cpp
@@ -2,17 +2,17 @@
 
 namespace lycheelanding::daemon::entry {
 
-decisions::idempotency::StoreWriteResult writeResult(const platform::WriteAnswer &answer)
+decisions::idempotency::StoreWriteResult writeResult(const services::WriteAnswer &answer)
 {
     using decisions::idempotency::StoreRevision;
     switch (answer.outcome) {
-    case platform::WriteOutcome::Written:
+    case services::WriteOutcome::Written:
         return decisions::idempotency::WriteDone{StoreRevision(answer.revision)};
-    case platform::WriteOutcome::Conflict:
+    case services::WriteOutcome::Conflict:
         return decisions::idempotency::WriteConflict();
-    case platform::WriteOutcome::Unknown:
+    case services::WriteOutcome::Unknown:
         return decisions::idempotency::WriteUnknown();
-    case platform::WriteOutcome::Unavailable:
+    case services::WriteOutcome::Unavailable:
         break;
     }
     return decisions::idempotency::WriteFailed();
--- a/packages/daemon/src/entry/claimservice.h
+++ b/packages/daemon/src/entry/claimservice.h
@@ -2,7 +2,7 @@
 
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/decisions/idempotency/claimpartition.h"
-#include "lycheelanding/platform/keyvaluestore.h"
+#include "lycheelanding/services/keyvaluestore.h"
 #include "runtime/workerpool.h"
 
 #include <cstdint>
@@ -19,10 +19,10 @@
 using ClaimHandler = std::function<void(const ClaimVerdict &)>;
 
 /// A store's answer to a write, in the terms of the claim partitions.
-decisions::idempotency::StoreWriteResult writeResult(const platform::WriteAnswer &answer);
+decisions::idempotency::StoreWriteResult writeResult(const services::WriteAnswer &answer);
 
 /// Runs the claim partitions of this entry against the key-value service.
-template <platform::KeyValueStore Store>
+template <services::KeyValueStore Store>
 class ClaimService
 {
 public:
--- a/packages/daemon/src/entry/entrydaemon.cpp
+++ b/packages/daemon/src/entry/entrydaemon.cpp
@@ -18,7 +18,7 @@
 #include "shared/randomnumbers.h"
 #include "shared/servingstates.h"
 
-#include "lycheelanding/platform/vmlist.h"
+#include "lycheelanding/services/vmlist.h"
 
 #include <atomic>
 
@@ -53,7 +53,7 @@
 
     void applyConfiguration(const shared::ActiveConfigurationPointer &active);
     void readVmList();
-    void applyVms(const std::vector<platform::VmRow> &rows);
+    void applyVms(const std::vector<services::VmRow> &rows);
     void sendHeartbeat();
     void updateCapacity();
     void updateGauges();
@@ -73,7 +73,7 @@
     std::unique_ptr<http::HttpClient> m_client = std::make_unique<http::HttpClient>();
     report::Metrics m_metrics;
     ObservedStore m_store;
-    platform::HttpVmList m_vmList;
+    services::HttpVmList m_vmList;
     shared::ConfigurationTable m_configuration;
     shared::PeerVersionTable m_peerVersions;
     shared::AcceptedLinks m_accepted;
@@ -163,8 +163,8 @@
 {
     shared::ConfigurationPorts ports;
     ports.findPeer = [this](const core::VmId &vm) { return findPeer(vm); };
-    ports.readStore = [this](platform::ReadHandler onRead) { m_store.read(configurationKey, std::move(onRead)); };
-    ports.watchStore = [this](std::uint64_t afterRevision, platform::ReadHandler onRead) {
+    ports.readStore = [this](services::ReadHandler onRead) { m_store.read(configurationKey, std::move(onRead)); };
+    ports.watchStore = [this](std::uint64_t afterRevision, services::ReadHandler onRead) {
         m_store.watch(configurationKey, afterRevision, watchTime, std::move(onRead));
     };
     ports.count = [this](report::Counter counter) { m_metrics.increment(counter); };
@@ -333,7 +333,7 @@
     });
 }
 
-void EntryDaemon::Private::applyVms(const std::vector<platform::VmRow> &rows)
+void EntryDaemon::Private::applyVms(const std::vector<services::VmRow> &rows)
 {
     m_backends.setVms(rows);
     m_sides.setTargets(sideTargets(rows, m_configuration.active()->document, m_hello.vm, m_hello.dataCentre));
--- a/packages/daemon/src/entry/observedstore.cpp
+++ b/packages/daemon/src/entry/observedstore.cpp
@@ -6,11 +6,11 @@
 
 using report::Counter;
 
-ObservedStore::ObservedStore(platform::HttpKeyValueStore store, report::Metrics &metrics)
+ObservedStore::ObservedStore(services::HttpKeyValueStore store, report::Metrics &metrics)
     : m_store(std::move(store)), m_metrics(metrics)
 { }
 
-void ObservedStore::read(const std::string &key, platform::ReadHandler onRead)
+void ObservedStore::read(const std::string &key, services::ReadHandler onRead)
 {
     m_metrics.increment(Counter::StoreReads);
     m_store.read(key, [this, begin = m_clock.now(), onRead = std::move(onRead)](const auto &result) {
@@ -20,12 +20,12 @@
 }
 
 void ObservedStore::write(const std::string &key, std::string value, std::uint64_t expectedRevision,
-                          platform::WriteHandler onWritten)
+                          services::WriteHandler onWritten)
 {
     m_metrics.increment(Counter::StoreWrites);
     m_store.write(key, std::move(value), expectedRevision,
                   [this, begin = m_clock.now(), onWritten = std::move(onWritten)](const auto &answer) {
-                      using platform::WriteOutcome;
+                      using services::WriteOutcome;
                       countAnswer(begin,
                                   answer.outcome == WriteOutcome::Written || answer.outcome == WriteOutcome::Conflict);
                       onWritten(answer);
@@ -33,7 +33,7 @@
 }
 
 void ObservedStore::watch(const std::string &key, std::uint64_t afterRevision, std::chrono::milliseconds wait,
-                          platform::ReadHandler onRead)
+                          services::ReadHandler onRead)
 {
     m_metrics.increment(Counter::StoreWatches);
     // The time of a watch is the wait for a change, so it does not count among the call times.
--- a/packages/daemon/src/entry/observedstore.h
+++ b/packages/daemon/src/entry/observedstore.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "lycheelanding/core/clock.h"
-#include "lycheelanding/platform/keyvaluestore.h"
 #include "lycheelanding/report/metrics.h"
+#include "lycheelanding/services/keyvaluestore.h"
 
 #include <chrono>
 #include <string>
@@ -13,22 +13,22 @@
 class ObservedStore
 {
 public:
-    ObservedStore(platform::HttpKeyValueStore store, report::Metrics &metrics);
+    ObservedStore(services::HttpKeyValueStore store, report::Metrics &metrics);
 
-    void read(const std::string &key, platform::ReadHandler onRead);
+    void read(const std::string &key, services::ReadHandler onRead);
     void write(const std::string &key, std::string value, std::uint64_t expectedRevision,
-               platform::WriteHandler onWritten);
+               services::WriteHandler onWritten);
     void watch(const std::string &key, std::uint64_t afterRevision, std::chrono::milliseconds wait,
-               platform::ReadHandler onRead);
+               services::ReadHandler onRead);
 
 private:
     void countAnswer(core::TimePoint begin, bool isAnswered);
 
-    platform::HttpKeyValueStore m_store;
+    services::HttpKeyValueStore m_store;
     report::Metrics &m_metrics;
     core::SystemClock m_clock;
 };
 
-static_assert(platform::KeyValueStore<ObservedStore>);
+static_assert(services::KeyValueStore<ObservedStore>);
 
 } // namespace lycheelanding::daemon::entry
--- a/packages/daemon/src/entry/patchservice.cpp
+++ b/packages/daemon/src/entry/patchservice.cpp
@@ -17,7 +17,7 @@
     return settings;
 }
 
-StoreReading readingFrom(const core::Result<std::optional<platform::StoredValue>> &result)
+StoreReading readingFrom(const core::Result<std::optional<services::StoredValue>> &result)
 {
     if (!core::isOk(result)) {
         return {};
@@ -27,16 +27,16 @@
                   : StoreReading{StoreReadState::Missing, {}, 0};
 }
 
-StoreWriteOutcome outcomeFrom(platform::WriteOutcome outcome)
+StoreWriteOutcome outcomeFrom(services::WriteOutcome outcome)
 {
     switch (outcome) {
-    case platform::WriteOutcome::Written:
+    case services::WriteOutcome::Written:
         return StoreWriteOutcome::Written;
-    case platform::WriteOutcome::Conflict:
+    case services::WriteOutcome::Conflict:
         return StoreWriteOutcome::Conflict;
-    case platform::WriteOutcome::Unknown:
+    case services::WriteOutcome::Unknown:
         return StoreWriteOutcome::Unknown;
-    case platform::WriteOutcome::Unavailable:
+    case services::WriteOutcome::Unavailable:
         break;
     }
     return StoreWriteOutcome::Unavailable;
@@ -118,7 +118,7 @@
 void PatchService::write(const WriteStore &write)
 {
     m_store.write(configurationKey, write.text, write.expectedRevision,
-                  [this, call = write.call](const platform::WriteAnswer &answer) {
+                  [this, call = write.call](const services::WriteAnswer &answer) {
                       handle([&](Acceptance &acceptance, core::TimePoint now) {
                           return acceptance.storeWritten(call, outcomeFrom(answer.outcome), now);
                       });
--- a/packages/daemon/src/entry/private/claimservice_impl.h
+++ b/packages/daemon/src/entry/private/claimservice_impl.h
@@ -7,12 +7,12 @@
 
 namespace lycheelanding::daemon::entry {
 
-template <platform::KeyValueStore Store>
+template <services::KeyValueStore Store>
 ClaimService<Store>::ClaimService(asio::io_context &context, Store &store)
     : m_store(store), m_timer(context, std::chrono::milliseconds(10), [this] { tickAll(); })
 { }
 
-template <platform::KeyValueStore Store>
+template <services::KeyValueStore Store>
 void ClaimService<Store>::claim(const decisions::idempotency::ClaimRequest &request, ClaimHandler onVerdict)
 {
     handle(partitionOf(request.key), [&](Partition &partition, core::TimePoint now) {
@@ -21,7 +21,7 @@
     });
 }
 
-template <platform::KeyValueStore Store>
+template <services::KeyValueStore Store>
 void ClaimService<Store>::move(decisions::idempotency::KeyHash key, Nonce nonce,
                                const decisions::idempotency::SideId &side, ClaimHandler onVerdict)
 {
@@ -31,14 +31,14 @@
     });
 }
 
-template <platform::KeyValueStore Store>
+template <services::KeyValueStore Store>
 void ClaimService<Store>::release(decisions::idempotency::KeyHash key, Nonce nonce)
 {
     handle(partitionOf(key),
            [nonce](Partition &partition, core::TimePoint now) { return partition.release(nonce, now); });
 }
 
-template <platform::KeyValueStore Store>
+template <services::KeyValueStore Store>
 void ClaimService<Store>::releaseForbidden(decisions::idempotency::KeyHash key, Nonce nonce,
                                            const decisions::idempotency::SideId &side)
 {
@@ -46,7 +46,7 @@
            [&](Partition &partition, core::TimePoint now) { return partition.releaseForbidden(nonce, side, now); });
 }
 
-template <platform::KeyValueStore Store>
+template <services::KeyValueStore Store>
 void ClaimService<Store>::setSettings(const decisions::idempotency::ClaimSettings &settings,
                                       std::uint64_t partitionCount)
 {
@@ -55,7 +55,7 @@
     m_partitionCount = partitionCount;
 }
 
-template <platform::KeyValueStore Store>
+template <services::KeyValueStore Store>
 template <typename Event>
 void ClaimService<Store>::handle(PartitionNumber number, Event event)
 {
@@ -67,7 +67,7 @@
     carryOut(number, std::move(calls));
 }
 
-template <platform::KeyValueStore Store>
+template <services::KeyValueStore Store>
 typename ClaimService<Store>::StoreCalls ClaimService<Store>::sortActions(decisions::idempotency::ClaimActions actions)
 {
     StoreCalls calls;
@@ -94,7 +94,7 @@
     return calls;
 }
 
-template <platform::KeyValueStore Store>
+template <services::KeyValueStore Store>
 void ClaimService<Store>::carryOut(PartitionNumber number, StoreCalls calls)
 {
     using decisions::idempotency::StoreReadFailed;
@@ -104,10 +104,10 @@
 
     const auto key = "claims/" + std::to_string(number.number());
     if (calls.reads) {
-        m_store.read(key, [this, number](const core::Result<std::optional<platform::StoredValue>> &answer) {
+        m_store.read(key, [this, number](const core::Result<std::optional<services::StoredValue>> &answer) {
             StoreReadResult result = StoreReadFailed();
             if (core::isOk(answer)) {
-                const auto value = core::valueOf(answer).value_or(platform::StoredValue());
+                const auto value = core::valueOf(answer).value_or(services::StoredValue());
                 result = decisions::idempotency::StoredValue{value.value, StoreRevision(value.revision)};
             }
             handle(number, [&](Partition &partition, core::TimePoint now) { return partition.storeRead(result, now); });
@@ -115,7 +115,7 @@
     }
     for (auto &write : calls.writes) {
         m_store.write(
-            key, std::move(write.text), write.expected.number(), [this, number](const platform::WriteAnswer &answer) {
+            key, std::move(write.text), write.expected.number(), [this, number](const services::WriteAnswer &answer) {
                 const auto result = writeResult(answer);
                 handle(number,
                        [&](Partition &partition, core::TimePoint now) { return partition.storeWritten(result, now); });
@@ -126,7 +126,7 @@
     }
 }
 
-template <platform::KeyValueStore Store>
+template <services::KeyValueStore Store>
 void ClaimService<Store>::tickAll()
 {
     std::vector<PartitionNumber> due;
@@ -145,7 +145,7 @@
     }
 }
 
-template <platform::KeyValueStore Store>
+template <services::KeyValueStore Store>
 typename ClaimService<Store>::PartitionNumber
 ClaimService<Store>::partitionOf(decisions::idempotency::KeyHash key) const
 {
@@ -153,7 +153,7 @@
     return decisions::idempotency::partitionOf(key, m_partitionCount);
 }
 
-template <platform::KeyValueStore Store>
+template <services::KeyValueStore Store>
 typename ClaimService<Store>::Partition &ClaimService<Store>::partition(PartitionNumber number)
 {
     return m_partitions.try_emplace(number, m_settings).first->second;
--- a/packages/daemon/src/entry/private/peerselection.cpp
+++ b/packages/daemon/src/entry/private/peerselection.cpp
@@ -27,7 +27,7 @@
 using decisions::membership::SubsetMember;
 
 /// Listed backend servers by the model or service that they offer; those that offer none stand together.
-std::map<std::string, std::vector<platform::VmRow>> rowsByOffer(const std::vector<platform::VmRow> &rows,
+std::map<std::string, std::vector<services::VmRow>> rowsByOffer(const std::vector<services::VmRow> &rows,
                                                                 const configuration::Document &document)
 {
     std::map<core::VmId, std::string> offers;
@@ -41,7 +41,7 @@
             offers[vm] = "service " + service.id.text();
         }
     }
-    std::map<std::string, std::vector<platform::VmRow>> byOffer;
+    std::map<std::string, std::vector<services::VmRow>> byOffer;
     for (const auto &row : rows) {
         byOffer[offers[row.vm]].push_back(row);
     }
@@ -57,7 +57,7 @@
     return settings;
 }
 
-void addTarget(const platform::VmRow &row, std::vector<shared::PeerTarget> &targets)
+void addTarget(const services::VmRow &row, std::vector<shared::PeerTarget> &targets)
 {
     const auto endpoint = wire::endpointFrom(row.address);
     if (core::isOk(endpoint)) {
@@ -65,7 +65,7 @@
     }
 }
 
-void addPreferred(std::vector<platform::VmRow> candidates, const core::VmId &self, std::size_t count,
+void addPreferred(std::vector<services::VmRow> candidates, const core::VmId &self, std::size_t count,
                   std::vector<shared::PeerTarget> &targets)
 {
     std::sort(candidates.begin(), candidates.end(), [&self](const auto &left, const auto &right) {
@@ -79,14 +79,14 @@
 
 } // namespace
 
-std::vector<shared::PeerTarget> sideTargets(const std::vector<platform::VmRow> &rows,
+std::vector<shared::PeerTarget> sideTargets(const std::vector<services::VmRow> &rows,
                                             const configuration::Document &document, const core::VmId &self,
                                             const core::DataCentreId &ownDataCentre)
 {
-    std::vector<platform::VmRow> backends;
+    std::vector<services::VmRow> backends;
     std::vector<SubsetMember> entries;
     for (const auto &row : rows) {
-        if (row.role == platform::VmRole::Backend) {
+        if (row.role == services::VmRole::Backend) {
             backends.push_back(row);
         } else {
             entries.push_back({row.vm.text(), row.dataCentre});
@@ -114,13 +114,13 @@
     return targets;
 }
 
-std::vector<shared::PeerTarget> entryTargets(const std::vector<platform::VmRow> &rows, const core::VmId &self,
+std::vector<shared::PeerTarget> entryTargets(const std::vector<services::VmRow> &rows, const core::VmId &self,
                                              const core::DataCentreId &ownDataCentre)
 {
-    std::vector<platform::VmRow> near;
-    std::vector<platform::VmRow> far;
+    std::vector<services::VmRow> near;
+    std::vector<services::VmRow> far;
     for (const auto &row : rows) {
-        if (row.role != platform::VmRole::Entry || row.vm == self) {
+        if (row.role != services::VmRole::Entry || row.vm == self) {
             continue;
         }
         (row.dataCentre == ownDataCentre ? near : far).push_back(row);
@@ -131,23 +131,23 @@
     return targets;
 }
 
-std::vector<core::VmId> liveEntries(const std::vector<platform::VmRow> &rows, const core::VmId &self)
+std::vector<core::VmId> liveEntries(const std::vector<services::VmRow> &rows, const core::VmId &self)
 {
     std::vector<core::VmId> entries{self};
     for (const auto &row : rows) {
-        if (row.role == platform::VmRole::Entry && row.state == platform::VmState::Live && row.vm != self) {
+        if (row.role == services::VmRole::Entry && row.state == services::VmState::Live && row.vm != self) {
             entries.push_back(row.vm);
         }
     }
     return entries;
 }
 
-bool isStoreWatcher(const std::vector<platform::VmRow> &rows, const core::VmId &self,
+bool isStoreWatcher(const std::vector<services::VmRow> &rows, const core::VmId &self,
                     const core::DataCentreId &ownDataCentre)
 {
     std::vector<core::VmId> members;
     for (const auto &row : rows) {
-        if (row.role == platform::VmRole::Entry && row.dataCentre == ownDataCentre) {
+        if (row.role == services::VmRole::Entry && row.dataCentre == ownDataCentre) {
             members.push_back(row.vm);
         }
     }
--- a/packages/daemon/src/shared/configurationupdater.cpp
+++ b/packages/daemon/src/shared/configurationupdater.cpp
@@ -30,7 +30,7 @@
     std::uint64_t revision = 0;
 };
 
-StoreAnswer storeAnswerFrom(const core::Result<std::optional<platform::StoredValue>> &result)
+StoreAnswer storeAnswerFrom(const core::Result<std::optional<services::StoredValue>> &result)
 {
     if (!core::isOk(result)) {
         return {};
@@ -112,7 +112,7 @@
     if (m_ports.readStore) {
         m_ports.readStore(answered);
     } else {
-        answered(core::Result<std::optional<platform::StoredValue>>(
+        answered(core::Result<std::optional<services::StoredValue>>(
             core::Error{core::ErrorKind::StoreUnavailable, "this process has no access to the key-value service"}));
     }
 }
--- a/packages/daemon/src/shared/configurationupdater.h
+++ b/packages/daemon/src/shared/configurationupdater.h
@@ -2,8 +2,8 @@
 
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/decisions/distribution/configurationinstaller.h"
-#include "lycheelanding/platform/keyvaluestore.h"
 #include "lycheelanding/report/counters.h"
+#include "lycheelanding/services/keyvaluestore.h"
 #include "lycheelanding/wire/framecodec.h"
 #include "lycheelanding/wire/peerconnection.h"
 #include "runtime/workerpool.h"
@@ -21,9 +21,9 @@
     /// The open connection to a peer, or null.
     std::function<wire::PeerConnectionPointer(const core::VmId &)> findPeer;
     /// Reads the stored record; empty in a process without access to the key-value service.
-    std::function<void(platform::ReadHandler)> readStore;
+    std::function<void(services::ReadHandler)> readStore;
     /// Waits for a stored record above a revision; empty like readStore.
-    std::function<void(std::uint64_t, platform::ReadHandler)> watchStore;
+    std::function<void(std::uint64_t, services::ReadHandler)> watchStore;
     /// Counts an event; empty in a process without metrics.
     std::function<void(report::Counter)> count = nullptr;
 };
--- a/packages/daemon/src/side/group/engineorders.cpp
+++ b/packages/daemon/src/side/group/engineorders.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-EngineState switchStateOf(const platform::EngineState &state)
+EngineState switchStateOf(const services::EngineState &state)
 {
     constexpr std::uint64_t firstGeneration = 1;
     constexpr std::uint64_t firstStep = 1;
@@ -49,7 +49,7 @@
     return result;
 }
 
-EngineOrders::EngineOrders(Strand strand, platform::HttpModelEngine &engine, const EngineState &state,
+EngineOrders::EngineOrders(Strand strand, services::HttpModelEngine &engine, const EngineState &state,
                            EngineOrderHandlers handlers)
     : m_strand(std::move(strand)), m_engine(engine), m_handlers(std::move(handlers)), m_retryTimer(m_strand),
       m_generation(state.generation), m_staged(state.staged)
@@ -119,9 +119,9 @@
     return stamp.generation > m_generation;
 }
 
-platform::MapOrder EngineOrders::orderFor(platform::MapOrderKind kind, const OrderStamp &stamp) const
+services::MapOrder EngineOrders::orderFor(services::MapOrderKind kind, const OrderStamp &stamp) const
 {
-    platform::MapOrder order;
+    services::MapOrder order;
     order.kind = kind;
     // Fencing numbers grow over all coordinators of a generation, since each begins above those that it finds.
     order.fencing = {stamp.generation, core::Incarnation(), stamp.fence.number()};
@@ -136,7 +136,7 @@
         return;
     }
     m_staging = order.map;
-    auto engineOrder = orderFor(platform::MapOrderKind::Stage, order.stamp);
+    auto engineOrder = orderFor(services::MapOrderKind::Stage, order.stamp);
     engineOrder.mapVersion = order.map;
     engineOrder.map = textOf(order.map);
     sendOrder(engineOrder);
@@ -148,7 +148,7 @@
         finish(core::Done()); // A group that lacks a member does not step.
         return;
     }
-    auto engineOrder = orderFor(platform::MapOrderKind::Arm, order.stamp);
+    auto engineOrder = orderFor(services::MapOrderKind::Arm, order.stamp);
     engineOrder.mapVersion = m_staged.value_or(core::MapVersion());
     engineOrder.step = order.step;
     sendOrder(engineOrder);
@@ -157,14 +157,14 @@
 void EngineOrders::send(const UseFrom &order)
 {
     if (!isForming(order.stamp)) {
-        auto engineOrder = orderFor(platform::MapOrderKind::Release, order.stamp);
+        auto engineOrder = orderFor(services::MapOrderKind::Release, order.stamp);
         engineOrder.mapVersion = order.use.map;
         engineOrder.step = order.use.step;
         engineOrder.switches = true;
         sendOrder(engineOrder);
         return;
     }
-    const platform::FormOrder form{order.stamp.generation, order.use.map, order.use.step, textOf(order.use.map)};
+    const services::FormOrder form{order.stamp.generation, order.use.map, order.use.step, textOf(order.use.map)};
     m_engine.form(form, [weak = weak_from_this()](const core::Status &status) {
         if (const auto self = weak.lock()) {
             asio::post(self->m_strand, [self, status] { self->answered(status); });
@@ -174,12 +174,12 @@
 
 void EngineOrders::send(const ResumeAt &order)
 {
-    auto engineOrder = orderFor(platform::MapOrderKind::Release, order.stamp);
+    auto engineOrder = orderFor(services::MapOrderKind::Release, order.stamp);
     engineOrder.step = order.step;
     sendOrder(engineOrder);
 }
 
-void EngineOrders::sendOrder(const platform::MapOrder &order)
+void EngineOrders::sendOrder(const services::MapOrder &order)
 {
     m_engine.order(order, [weak = weak_from_this()](const core::Status &status) {
         if (const auto self = weak.lock()) {
@@ -236,7 +236,7 @@
     sendNext();
 }
 
-void EngineOrders::stateRead(const platform::EngineState &state)
+void EngineOrders::stateRead(const services::EngineState &state)
 {
     m_generation = std::max(m_generation, state.generation);
     if (m_staging && state.stagedMap == m_staging) {
--- a/packages/daemon/src/side/group/engineorders.h
+++ b/packages/daemon/src/side/group/engineorders.h
@@ -2,7 +2,7 @@
 
 #include "lycheelanding/core/ids.h"
 #include "lycheelanding/decisions/mapswitch/switchmessages.h"
-#include "lycheelanding/platform/modelengine.h"
+#include "lycheelanding/services/modelengine.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -30,14 +30,14 @@
 };
 
 /// The state of an engine in the terms of the map switch.
-decisions::mapswitch::EngineState switchStateOf(const platform::EngineState &state);
+decisions::mapswitch::EngineState switchStateOf(const services::EngineState &state);
 
 /// Carries out a gate's orders at the engine, one after the other and in their order; an order without an answer is
 /// repeated until the engine has obeyed it or has said that it cannot. All members belong to the strand.
 class EngineOrders : public std::enable_shared_from_this<EngineOrders>
 {
 public:
-    EngineOrders(Strand strand, platform::HttpModelEngine &engine, const decisions::mapswitch::EngineState &state,
+    EngineOrders(Strand strand, services::HttpModelEngine &engine, const decisions::mapswitch::EngineState &state,
                  EngineOrderHandlers handlers);
 
     void carryOut(const decisions::mapswitch::StageMap &order);
@@ -47,7 +47,7 @@
     /// The content of a map that orders may name.
     void noteMap(core::MapVersion version, const std::string &text);
     /// To be called with each state that the engine reports.
-    void stateRead(const platform::EngineState &state);
+    void stateRead(const services::EngineState &state);
     /// Drops all orders; for an engine that has been started anew.
     void close();
 
@@ -64,15 +64,15 @@
     void send(const decisions::mapswitch::HoldAt &order);
     void send(const decisions::mapswitch::UseFrom &order);
     void send(const decisions::mapswitch::ResumeAt &order);
-    void sendOrder(const platform::MapOrder &order);
+    void sendOrder(const services::MapOrder &order);
     void answered(const core::Status &status);
     void finish(const core::Status &status);
     void retryLater();
     bool isForming(const decisions::mapswitch::OrderStamp &stamp) const;
-    platform::MapOrder orderFor(platform::MapOrderKind kind, const decisions::mapswitch::OrderStamp &stamp) const;
+    services::MapOrder orderFor(services::MapOrderKind kind, const decisions::mapswitch::OrderStamp &stamp) const;
 
     Strand m_strand;
-    platform::HttpModelEngine &m_engine;
+    services::HttpModelEngine &m_engine;
     EngineOrderHandlers m_handlers;
     asio::steady_timer m_retryTimer;
     core::Generation m_generation;
--- a/packages/daemon/src/side/group/generationstore.cpp
+++ b/packages/daemon/src/side/group/generationstore.cpp
@@ -5,7 +5,7 @@
 
 namespace lycheelanding::daemon::side::group {
 
-GenerationStore::GenerationStore(platform::HttpKeyValueStore &store, const core::GroupId &group)
+GenerationStore::GenerationStore(services::HttpKeyValueStore &store, const core::GroupId &group)
     : m_store(store), m_key("groups/" + group.text() + "/generation")
 { }
 
@@ -15,7 +15,7 @@
         if (!core::isOk(result)) {
             return;
         }
-        const auto stored = core::valueOf(result).value_or(platform::StoredValue());
+        const auto stored = core::valueOf(result).value_or(services::StoredValue());
         const core::Generation last(std::strtoull(stored.value.c_str(), nullptr, 10));
         write(std::max(last, known).next(), stored.revision, onGranted);
     });
@@ -26,8 +26,8 @@
 {
     // A write whose answer was lost grants nothing: its number is left unused.
     m_store.write(m_key, std::to_string(next.number()), revision,
-                  [next, onGranted = std::move(onGranted)](const platform::WriteAnswer &answer) {
-                      if (answer.outcome == platform::WriteOutcome::Written) {
+                  [next, onGranted = std::move(onGranted)](const services::WriteAnswer &answer) {
+                      if (answer.outcome == services::WriteOutcome::Written) {
                           onGranted(next);
                       }
                   });
--- a/packages/daemon/src/side/group/generationstore.h
+++ b/packages/daemon/src/side/group/generationstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lycheelanding/core/ids.h"
-#include "lycheelanding/platform/keyvaluestore.h"
+#include "lycheelanding/services/keyvaluestore.h"
 
 #include <functional>
 #include <string>
@@ -12,7 +12,7 @@
 class GenerationStore
 {
 public:
-    GenerationStore(platform::HttpKeyValueStore &store, const core::GroupId &group);
+    GenerationStore(services::HttpKeyValueStore &store, const core::GroupId &group);
 
     /// Calls `onGranted` with a number above `known` that nobody else was given; not at all when the service fails or
     /// another coordinator was faster, so that the caller asks again.
@@ -21,7 +21,7 @@
 private:
     void write(core::Generation next, std::uint64_t revision, std::function<void(core::Generation)> onGranted);
 
-    platform::HttpKeyValueStore &m_store;
+    services::HttpKeyValueStore &m_store;
     const std::string m_key;
 };
 
--- a/packages/daemon/src/side/group/groupcoordinator.cpp
+++ b/packages/daemon/src/side/group/groupcoordinator.cpp
@@ -53,7 +53,7 @@
 
 } // namespace
 
-GroupCoordinator::GroupCoordinator(asio::io_context &context, platform::HttpKeyValueStore &store,
+GroupCoordinator::GroupCoordinator(asio::io_context &context, services::HttpKeyValueStore &store,
                                    core::Incarnation self, const shared::ConfigurationTable &configuration,
                                    report::Metrics &metrics, GroupPlace place)
     : m_context(context), m_strand(asio::make_strand(context)), m_generations(store, place.group),
--- a/packages/daemon/src/side/group/groupcoordinator.h
+++ b/packages/daemon/src/side/group/groupcoordinator.h
@@ -34,7 +34,7 @@
 class GroupCoordinator : public std::enable_shared_from_this<GroupCoordinator>
 {
 public:
-    GroupCoordinator(asio::io_context &context, platform::HttpKeyValueStore &store, core::Incarnation self,
+    GroupCoordinator(asio::io_context &context, services::HttpKeyValueStore &store, core::Incarnation self,
                      const shared::ConfigurationTable &configuration, report::Metrics &metrics, GroupPlace place);
 
     void start();
--- a/packages/daemon/src/side/group/groupmember.cpp
+++ b/packages/daemon/src/side/group/groupmember.cpp
@@ -68,7 +68,7 @@
     });
 }
 
-void GroupMember::setVms(const std::vector<platform::VmRow> &rows)
+void GroupMember::setVms(const std::vector<services::VmRow> &rows)
 {
     for (const auto &row : rows) {
         if (row.vm != m_place.vms.front()) {
@@ -112,7 +112,7 @@
         return;
     }
     m_isReading = true;
-    m_engine.state([weak = weak_from_this()](const core::Result<platform::EngineState> &state) {
+    m_engine.state([weak = weak_from_this()](const core::Result<services::EngineState> &state) {
         if (const auto self = weak.lock()) {
             self->post([state](auto &member) {
                 member.m_isReading = false;
@@ -124,7 +124,7 @@
     });
 }
 
-void GroupMember::stateRead(const platform::EngineState &state)
+void GroupMember::stateRead(const services::EngineState &state)
 {
     if (m_engineLife != state.incarnation) {
         beginLife(state);
@@ -133,7 +133,7 @@
     m_orders->stateRead(state);
     reopenSilentSession();
     if (state.activeMap != m_mapInForce) {
-        m_engine.map([weak = weak_from_this()](const core::Result<platform::EngineMap> &map) {
+        m_engine.map([weak = weak_from_this()](const core::Result<services::EngineMap> &map) {
             if (const auto self = weak.lock(); self && core::isOk(map)) {
                 self->post([map](auto &member) { member.mapRead(core::valueOf(map)); });
             }
@@ -144,7 +144,7 @@
     }
 }
 
-void GroupMember::beginLife(const platform::EngineState &state)
+void GroupMember::beginLife(const services::EngineState &state)
 {
     if (m_engineLife) {
         logging::logChange(logging::Level::Warning, "the engine was started anew", {{"group", m_place.group.text()}});
@@ -163,7 +163,7 @@
     }
 }
 
-void GroupMember::mapRead(const platform::EngineMap &map)
+void GroupMember::mapRead(const services::EngineMap &map)
 {
     const bool isFirst = !m_mapInForce;
     m_mapInForce = map.version;
@@ -250,7 +250,7 @@
         return;
     }
     m_lastCounts = now;
-    m_engine.expertCounts([weak = weak_from_this()](const core::Result<platform::EngineExpertCounts> &counts) {
+    m_engine.expertCounts([weak = weak_from_this()](const core::Result<services::EngineExpertCounts> &counts) {
         const auto self = weak.lock();
         if (!self || !core::isOk(counts)) {
             return;
--- a/packages/daemon/src/side/group/groupmember.h
+++ b/packages/daemon/src/side/group/groupmember.h
@@ -7,8 +7,8 @@
 #include "side/group/groupplace.h"
 
 #include "lycheelanding/decisions/mapswitch/rankgate.h"
-#include "lycheelanding/platform/modelengine.h"
-#include "lycheelanding/platform/vmlist.h"
+#include "lycheelanding/services/modelengine.h"
+#include "lycheelanding/services/vmlist.h"
 #include "lycheelanding/wire/mapswitchmessages.h"
 
 #include <memory>
@@ -30,16 +30,16 @@
     void start();
     void stop();
     /// Finds the coordinator's address.
-    void setVms(const std::vector<platform::VmRow> &rows);
+    void setVms(const std::vector<services::VmRow> &rows);
 
     const GroupPlace &place() const { return m_place; }
 
 private:
     shared::PeerLinkHandlers linkHandlers();
     void readState();
-    void stateRead(const platform::EngineState &state);
-    void beginLife(const platform::EngineState &state);
-    void mapRead(const platform::EngineMap &map);
+    void stateRead(const services::EngineState &state);
+    void beginLife(const services::EngineState &state);
+    void mapRead(const services::EngineMap &map);
     void openSession(const wire::PeerConnectionPointer &link);
     void reopenSilentSession();
     void received(const wire::PeerConnectionPointer &link, const wire::Frame &frame);
@@ -52,7 +52,7 @@
 
     asio::io_context &m_context;
     Strand m_strand;
-    platform::HttpModelEngine m_engine;
+    services::HttpModelEngine m_engine;
     const shared::ConfigurationTable &m_configuration;
     const wire::Hello m_own;
     const GroupPlace m_place;
--- a/packages/daemon/src/side/group/groupparticipation.cpp
+++ b/packages/daemon/src/side/group/groupparticipation.cpp
@@ -57,7 +57,7 @@
     }
 }
 
-void GroupParticipation::setVms(const std::vector<platform::VmRow> &rows)
+void GroupParticipation::setVms(const std::vector<services::VmRow> &rows)
 {
     const std::scoped_lock lock(m_mutex);
     m_vms = rows;
--- a/packages/daemon/src/side/group/groupparticipation.h
+++ b/packages/daemon/src/side/group/groupparticipation.h
@@ -5,9 +5,9 @@
 #include "side/group/groupmember.h"
 
 #include "lycheelanding/http/httpclient.h"
-#include "lycheelanding/platform/keyvaluestore.h"
-#include "lycheelanding/platform/vmlist.h"
 #include "lycheelanding/report/metrics.h"
+#include "lycheelanding/services/keyvaluestore.h"
+#include "lycheelanding/services/vmlist.h"
 #include "lycheelanding/wire/peerconnection.h"
 
 #include <memory>
@@ -27,7 +27,7 @@
                        const shared::ConfigurationTable &configuration, report::Metrics &metrics);
 
     void applyConfiguration(const configuration::Document &document);
-    void setVms(const std::vector<platform::VmRow> &rows);
+    void setVms(const std::vector<services::VmRow> &rows);
     /// Takes a frame of another side; true when it was a message of a rank group.
     bool received(const wire::PeerConnectionPointer &link, const wire::Frame &frame);
     void linkLost(const wire::PeerConnectionPointer &link);
@@ -44,12 +44,12 @@
     asio::io_context &m_context;
     http::HttpClient &m_client;
     const std::string m_engineUrl;
-    platform::HttpKeyValueStore m_store;
+    services::HttpKeyValueStore m_store;
     const wire::Hello m_own;
     const shared::ConfigurationTable &m_configuration;
     report::Metrics &m_metrics;
     mutable std::mutex m_mutex;
-    std::vector<platform::VmRow> m_vms;
+    std::vector<services::VmRow> m_vms;
     std::shared_ptr<GroupMember> m_member;
     std::shared_ptr<GroupCoordinator> m_coordinator;
 };
--- a/packages/daemon/src/side/loadobserver.cpp
+++ b/packages/daemon/src/side/loadobserver.cpp
@@ -33,12 +33,12 @@
     request.url = m_settings.backendUrl + "/";
     request.timeout = std::chrono::seconds(2);
     m_client.fetch(std::move(request), [this](const core::Result<http::HttpResponse> &response) {
-        note(core::isOk(response) ? core::Result<platform::EngineLoad>(platform::EngineLoad())
-                                  : core::Result<platform::EngineLoad>(core::errorOf(response)));
+        note(core::isOk(response) ? core::Result<services::EngineLoad>(services::EngineLoad())
+                                  : core::Result<services::EngineLoad>(core::errorOf(response)));
     });
 }
 
-void LoadObserver::note(const core::Result<platform::EngineLoad> &load)
+void LoadObserver::note(const core::Result<services::EngineLoad> &load)
 {
     const bool isReachable = core::isOk(load);
     bool isChanged = false;
--- a/packages/daemon/src/side/loadobserver.h
+++ b/packages/daemon/src/side/loadobserver.h
@@ -2,7 +2,7 @@
 
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/http/httpclient.h"
-#include "lycheelanding/platform/modelengine.h"
+#include "lycheelanding/services/modelengine.h"
 #include "lycheelanding/wire/messages.h"
 #include "settings/daemonsettings.h"
 
@@ -28,14 +28,14 @@
 private:
     void read();
     void readPlain();
-    void note(const core::Result<platform::EngineLoad> &load);
+    void note(const core::Result<services::EngineLoad> &load);
 
     http::HttpClient &m_client;
     const settings::SideSettings m_settings;
-    platform::HttpModelEngine m_engine;
+    services::HttpModelEngine m_engine;
     core::SystemClock m_clock;
     mutable std::mutex m_mutex;
-    platform::EngineLoad m_load;
+    services::EngineLoad m_load;
     core::TimePoint m_loadAt;
     bool m_isReachable = false;
     bool m_isReading = false;
--- a/packages/daemon/src/side/requestrunner.cpp
+++ b/packages/daemon/src/side/requestrunner.cpp
@@ -3,7 +3,7 @@
 #include "side/answersender.h"
 #include "side/backendanswer.h"
 
-#include "lycheelanding/platform/modelengine.h"
+#include "lycheelanding/services/modelengine.h"
 
 #include <optional>
 
@@ -125,7 +125,7 @@
     transfer.url = m_backendUrl + request.target;
     transfer.headers = request.headers;
     if (request.rank) {
-        transfer.headers.add(std::string(platform::rankHeader), std::to_string(*request.rank));
+        transfer.headers.add(std::string(services::rankHeader), std::to_string(*request.rank));
     }
     transfer.body = request.body;
     transfer.timeout = std::chrono::milliseconds(request.timeoutMs);
--- a/packages/daemon/src/side/sidedaemon.cpp
+++ b/packages/daemon/src/side/sidedaemon.cpp
@@ -15,7 +15,7 @@
 #include "side/requestrunner.h"
 
 #include "lycheelanding/http/httpclient.h"
-#include "lycheelanding/platform/vmlist.h"
+#include "lycheelanding/services/vmlist.h"
 
 #include <nlohmann/json.hpp>
 
@@ -65,7 +65,7 @@
     LoadObserver m_load;
     report::Metrics m_metrics;
     group::GroupParticipation m_group;
-    platform::HttpVmList m_vmList;
+    services::HttpVmList m_vmList;
     shared::Endpoints m_endpoints;
     std::optional<runtime::StopSignals> m_signals;
     std::unique_ptr<runtime::RepeatingTimer> m_heartbeatTimer;
@@ -218,13 +218,13 @@
 
 void SideDaemon::Private::readVmList()
 {
-    m_vmList.list([this](const core::Result<std::vector<platform::VmRow>> &rows) {
+    m_vmList.list([this](const core::Result<std::vector<services::VmRow>> &rows) {
         if (!core::isOk(rows)) {
             return;
         }
         m_group.setVms(core::valueOf(rows));
         for (const auto &row : core::valueOf(rows)) {
-            if (row.vm == m_settings.common.vm && row.state == platform::VmState::Leaving) {
+            if (row.vm == m_settings.common.vm && row.state == services::VmState::Leaving) {
                 m_gate.vmLeaving("VM list");
             }
         }
--- a/packages/daemon/tests/backendtabletest.cpp
+++ b/packages/daemon/tests/backendtabletest.cpp
@@ -41,8 +41,8 @@
     BackendTableTest()
     {
         table.setConfiguration(document("orders"));
-        table.setVms({{firstVm, {}, platform::VmRole::Backend, platform::VmState::Live, ""},
-                      {secondVm, {}, platform::VmRole::Backend, platform::VmState::Live, ""}});
+        table.setVms({{firstVm, {}, services::VmRole::Backend, services::VmState::Live, ""},
+                      {secondVm, {}, services::VmRole::Backend, services::VmState::Live, ""}});
     }
 
     /// Sends one request and ends it; returns where it went.
--- a/packages/daemon/tests/peerselectiontest.cpp
+++ b/packages/daemon/tests/peerselectiontest.cpp
@@ -19,10 +19,10 @@
         std::map<std::string, configuration::Group> groups;
         for (std::size_t number = 0; number < entries + backends; ++number) {
             const bool isEntry = number < entries;
-            platform::VmRow row;
+            services::VmRow row;
             row.vm = core::VmId((isEntry ? "entry-" : "backend-") + std::to_string(number));
             row.dataCentre = core::DataCentreId(dataCentres[number % dataCentres.size()]);
-            row.role = isEntry ? platform::VmRole::Entry : platform::VmRole::Backend;
+            row.role = isEntry ? services::VmRole::Entry : services::VmRole::Backend;
             row.address = "127.0.0.1:" + std::to_string(1000 + number);
             rows.push_back(row);
             if (!isEntry) {
@@ -42,7 +42,7 @@
         return sideTargets(rows, document, rows[entry].vm, rows[entry].dataCentre);
     }
 
-    std::vector<platform::VmRow> rows;
+    std::vector<services::VmRow> rows;
     configuration::Document document;
 };
 
--- a/packages/platform/include/lycheelanding/platform/keyvaluestore.h
+++ b/packages/services/include/lycheelanding/services/keyvaluestore.h
@@ -12,7 +12,7 @@
 #include <string>
 
 /// Adapters to the platform's interfaces, one file each, behind concepts.
-namespace lycheelanding::platform {
+namespace lycheelanding::services {
 
 struct StoredValue
 {
@@ -75,4 +75,4 @@
 
 static_assert(KeyValueStore<HttpKeyValueStore>);
 
-} // namespace lycheelanding::platform
+} // namespace lycheelanding::services
--- a/packages/platform/include/lycheelanding/platform/modelengine.h
+++ b/packages/services/include/lycheelanding/services/modelengine.h
@@ -12,7 +12,7 @@
 #include <string_view>
 #include <vector>
 
-namespace lycheelanding::platform {
+namespace lycheelanding::services {
 
 /// Request header that names the rank of a group that is to serve a request.
 inline constexpr std::string_view rankHeader = "X-Rank";
@@ -145,4 +145,4 @@
 
 static_assert(ModelEngine<HttpModelEngine>);
 
-} // namespace lycheelanding::platform
+} // namespace lycheelanding::services
--- a/packages/platform/include/lycheelanding/platform/vmlist.h
+++ b/packages/services/include/lycheelanding/services/vmlist.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace lycheelanding::platform {
+namespace lycheelanding::services {
 
 enum class VmRole : std::uint8_t {
     Entry,
@@ -57,4 +57,4 @@
 
 static_assert(VmList<HttpVmList>);
 
-} // namespace lycheelanding::platform
+} // namespace lycheelanding::services
--- a/packages/platform/src/keyvaluestore.cpp
+++ b/packages/services/src/keyvaluestore.cpp
@@ -1,8 +1,8 @@
-#include "lycheelanding/platform/keyvaluestore.h"
+#include "lycheelanding/services/keyvaluestore.h"
 
 #include <nlohmann/json.hpp>
 
-namespace lycheelanding::platform {
+namespace lycheelanding::services {
 
 namespace {
 
@@ -105,4 +105,4 @@
     });
 }
 
-} // namespace lycheelanding::platform
+} // namespace lycheelanding::services
--- a/packages/platform/src/modelengine.cpp
+++ b/packages/services/src/modelengine.cpp
@@ -1,4 +1,4 @@
-#include "lycheelanding/platform/modelengine.h"
+#include "lycheelanding/services/modelengine.h"
 
 #include "lycheelanding/core/nametable.h"
 
@@ -6,7 +6,7 @@
 
 #include <array>
 
-namespace lycheelanding::platform {
+namespace lycheelanding::services {
 
 namespace {
 
@@ -200,4 +200,4 @@
                    [onDone = std::move(onDone)](const auto &result) { onDone(orderAnswer(result)); });
 }
 
-} // namespace lycheelanding::platform
+} // namespace lycheelanding::services
--- a/packages/platform/src/vmlist.cpp
+++ b/packages/services/src/vmlist.cpp
@@ -1,8 +1,8 @@
-#include "lycheelanding/platform/vmlist.h"
+#include "lycheelanding/services/vmlist.h"
 
 #include <nlohmann/json.hpp>
 
-namespace lycheelanding::platform {
+namespace lycheelanding::services {
 
 namespace {
 
@@ -49,4 +49,4 @@
                    [onListed = std::move(onListed)](const auto &result) { onListed(rowsFrom(result)); });
 }
 
-} // namespace lycheelanding::platform
+} // namespace lycheelanding::services
