--- a/packages/daemon/app/main.cpp
+++ b/packages/daemon/app/main.cpp
@@ -46,13 +46,13 @@
 }
 
 /// Runs one role with the settings that the users' platform gives.
-int runOnPlatform(const std::string &role)
+int runOnPlatform(const std::string &role, bool onlyChecks)
 {
     if (role == "entry") {
-        return platform::runEntry();
+        return platform::runEntry(onlyChecks);
     }
     if (role == "side") {
-        return platform::runSide();
+        return platform::runSide(onlyChecks);
     }
     return reportFault("role \"" + role + "\" is neither entry nor side");
 }
@@ -86,7 +86,8 @@
         return EXIT_SUCCESS;
     }
     if (arguments.count("platform") > 0) {
-        return runOnPlatform(arguments.count("role") > 0 ? arguments["role"].as<std::string>() : std::string());
+        const auto platformRole = arguments.count("role") > 0 ? arguments["role"].as<std::string>() : std::string();
+        return runOnPlatform(platformRole, arguments.count("check") > 0);
     }
     if (arguments.count("role") == 0 || arguments.count("settings") == 0) {
         return reportFault("usage: lycheelandingd entry|side --settings FILE [--check] or entry|side --platform");
--- a/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
@@ -33,6 +33,9 @@
     double tokenWeight = 0.2;
     /// Outstanding tokens that a choice in another data centre has to save.
     double farPenaltyTokens = 20.0;
+    /// Where a smaller part of the backend servers that serve a request is available, those set aside count as well: a
+    /// failing one is better than none. 0 turns this off.
+    double leastAvailablePart = 0.0;
 };
 
 /// Chooses backend server and rank for each request of one entry. Also serves plain services, whose backend servers
@@ -111,6 +114,7 @@
     Rank *rankOf(const core::VmId &vm, core::RankIndex rank);
     void tokensDone(Attempt &attempt, std::uint64_t tokens, core::TimePoint now);
     std::vector<Slot> slotsFor(const RouteRequest &request, core::TimePoint now) const;
+    bool areTooFewAvailable(const RouteRequest &request, core::TimePoint now) const;
     std::optional<Choice> probeFor(const RouteRequest &request, core::TimePoint now) const;
     void addCosts(std::vector<Slot> &slots, const RouteRequest &request, core::TimePoint now) const;
     Choice pick(const std::vector<Slot> &slots, const RouteRequest &request) const;
--- a/packages/decisions/src/routing/backendselector.cpp
+++ b/packages/decisions/src/routing/backendselector.cpp
@@ -261,8 +261,10 @@
 std::vector<BackendSelector::Slot> BackendSelector::slotsFor(const RouteRequest &request, core::TimePoint now) const
 {
     std::vector<Slot> slots;
+    const bool ignoresHealth = areTooFewAvailable(request, now);
     for (const auto &[vm, server] : m_servers) {
-        const bool isUsable = serves(server.candidate, request) && isAvailable(vm, now);
+        const bool isHealthy = ignoresHealth ? !server.leaving : isAvailable(vm, now);
+        const bool isUsable = serves(server.candidate, request) && isHealthy;
         if (!isUsable || contains(request.excluded, vm)) {
             continue;
         }
@@ -273,6 +275,19 @@
     return slots;
 }
 
+bool BackendSelector::areTooFewAvailable(const RouteRequest &request, core::TimePoint now) const
+{
+    std::size_t usable = 0;
+    std::size_t available = 0;
+    for (const auto &[vm, server] : m_servers) {
+        if (serves(server.candidate, request) && !server.leaving) {
+            ++usable;
+            available += isAvailable(vm, now) ? 1 : 0;
+        }
+    }
+    return static_cast<double>(available) < m_settings.leastAvailablePart * static_cast<double>(usable);
+}
+
 std::optional<Choice> BackendSelector::probeFor(const RouteRequest &request, core::TimePoint now) const
 {
     if (!request.idempotent) {
--- a/packages/decisions/tests/routing/backendselectortest.cpp
+++ b/packages/decisions/tests/routing/backendselectortest.cpp
@@ -227,4 +227,31 @@
     EXPECT_EQ(core::valueOf(selector.choose(order, core::TimePoint(1h))).vm, core::VmId("app-0"));
 }
 
+/// All three servers of a small service lost answers and were set aside, since they were a small part of all servers;
+/// its requests were refused for a second.
+TEST(BackendSelectorTest, serviceWithAllServersSetAsideIsStillServed)
+{
+    SelectorSettings settings;
+    settings.leastAvailablePart = 0.5;
+    BackendSelector selector(settings, 1);
+    std::vector<BackendCandidate> candidates;
+    for (int number = 0; number < 19; ++number) {
+        BackendCandidate candidate;
+        candidate.vm = core::VmId("vm-" + std::to_string(number));
+        candidate.service = core::ServiceId(number < 3 ? "desk" : "drafts");
+        candidates.push_back(candidate);
+    }
+    selector.setCandidates(candidates);
+    RouteRequest request;
+    request.service = core::ServiceId("desk");
+    request.idempotent = false;
+    const core::TimePoint now(1h);
+    for (std::uint64_t number = 1; number <= 30; ++number) {
+        const auto choice = selector.choose(request, now);
+        ASSERT_TRUE(core::isOk(choice)) << number;
+        selector.requestSent(AttemptId(number), core::valueOf(choice), 1, now);
+        selector.requestEnded(AttemptId(number), Outcome::Failed, now);
+    }
+}
+
 } // namespace lycheelanding::decisions::routing
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace lycheelanding::forwarding {
 
@@ -41,7 +42,7 @@
     /// Sends waiting requests for which there is a place now; to be called often.
     void advanceWaiting() { m_waiting.advance(m_clock.now()); }
     /// The registry has been read as a whole at least once.
-    void backendsListed() { m_hasBackends = true; }
+    void backendsListed();
     /// Ends the entry without cutting off a request; calls `onStopped` when it may exit.
     void stop(std::function<void()> onStopped);
 
@@ -54,6 +55,8 @@
 
 private:
     void handleRequest(const http::HttpExchangePointer &exchange);
+    void forward(const http::HttpExchangePointer &exchange);
+    void forwardEarlyRequests();
     void handleReadiness(const http::HttpExchangePointer &exchange);
     void carryOut(const decisions::membership::EntryDrainActions &actions);
     void tickDrain();
@@ -70,6 +73,9 @@
     AttemptId m_lastAttempt;
     RouteTablePointer m_routes;
     bool m_hasBackends = false;
+    /// Arrived before configuration and backend servers were known.
+    std::vector<http::HttpExchangePointer> m_early;
+    asio::steady_timer m_earlyTimer;
     decisions::membership::EntryDrain m_drain;
     asio::steady_timer m_drainTimer;
     std::function<void()> m_onStopped;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -82,6 +82,8 @@
     };
 
     core::Result<const Route *> findRoute();
+    /// How long the request may wait for a backend server.
+    core::Duration longestWait() const;
     void startTimer();
     void startAttempt();
     BackendRequest backendRequest() const;
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -26,6 +26,14 @@
 /// Tokens that a running request is likely to have left: half of a usual answer.
 constexpr std::uint64_t tokensLeftOfRunning = 80;
 
+decisions::routing::SelectorSettings selectorSettings()
+{
+    decisions::routing::SelectorSettings settings;
+    // Services share one tracker of health, and a small one may be set aside as a whole.
+    settings.leastAvailablePart = 0.5;
+    return settings;
+}
+
 core::VmId selectorName(const BackendId &id)
 {
     return core::VmId(id.text());
@@ -51,7 +59,7 @@
 }
 
 BackendSet::BackendSet(core::DataCentreId ownDataCentre, std::uint64_t seed)
-    : m_ownDataCentre(std::move(ownDataCentre)), m_selector(decisions::routing::SelectorSettings(), seed)
+    : m_ownDataCentre(std::move(ownDataCentre)), m_selector(selectorSettings(), seed)
 { }
 
 void BackendSet::apply(const decisions::membership::DirectoryChanges &changes, core::TimePoint now)
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -12,6 +12,8 @@
 /// Idle connections to backend servers are dropped after this: they hold one of the few that a backend server takes.
 constexpr std::chrono::seconds longestIdleConnection{20};
 constexpr std::chrono::milliseconds drainCheckInterval{20};
+/// How long a request waits for a fresh entry to read the configuration, which takes some ten milliseconds.
+constexpr std::chrono::milliseconds earlyWait{500};
 /// How long a stopped entry waits until its callers have taken the last bytes.
 constexpr std::chrono::milliseconds lastBytesTime{300};
 
@@ -34,7 +36,7 @@
     : m_context(context), m_settings(std::move(settings)), m_log(log),
       m_backends(m_settings.dataCentre, core::stableHash(m_settings.process)),
       m_retries(m_settings.retryBudget, core::stableHash(m_settings.process)), m_pool(longestIdleConnection),
-      m_drain(m_settings.drain), m_drainTimer(context),
+      m_earlyTimer(context), m_drain(m_settings.drain), m_drainTimer(context),
       m_callers(context, serverSettings(m_settings.callers, m_settings.maxConnections),
                 [this](const auto &exchange) { handleRequest(exchange); }),
       m_readiness(context, serverSettings(m_settings.readiness, m_settings.maxConnections),
@@ -67,6 +69,9 @@
         }
     }
     m_backends.setGroupedServices(std::move(grouped));
+    if (m_hasBackends) {
+        forwardEarlyRequests();
+    }
     m_metrics.increment(report::Counter::VersionsInstalled);
     m_metrics.set(report::Gauge::ConfigurationVersion, version.number());
     m_log.write(LogImportance::State, "configurationInstalled",
@@ -122,17 +127,51 @@
         if (const auto *refused = std::get_if<decisions::membership::RefuseRequest>(&action)) {
             ForwardedExchange::refuse(exchange, {refused->kind, "the entry is stopping"});
         } else if (std::holds_alternative<decisions::membership::AdmitRequest>(action)) {
-            const ForwardingParts parts{m_context, m_settings.names, m_backends, m_retries,    m_pool,
-                                        m_log,     m_metrics,        m_waiting,  m_lastAttempt};
-            std::make_shared<ForwardedExchange>(parts, m_routes, exchange, [this] {
-                carryOut(m_drain.requestFinished(m_clock.now()));
-                advanceWaiting();
-            })->start();
+            if (m_routes && m_hasBackends) {
+                forward(exchange);
+                continue;
+            }
+            m_early.push_back(exchange);
+            if (m_early.size() == 1) {
+                m_earlyTimer.expires_after(earlyWait);
+                m_earlyTimer.async_wait([this](const auto &error) {
+                    if (!error) {
+                        forwardEarlyRequests();
+                    }
+                });
+            }
         }
     }
     carryOut(actions);
 }
 
+void EntryServer::forwardEarlyRequests()
+{
+    m_earlyTimer.cancel();
+    for (const auto &exchange : std::exchange(m_early, {})) {
+        forward(exchange);
+    }
+}
+
+void EntryServer::backendsListed()
+{
+    m_hasBackends = true;
+    if (m_routes) {
+        forwardEarlyRequests();
+    }
+}
+
+void EntryServer::forward(const http::HttpExchangePointer &exchange)
+{
+    const ForwardingParts parts{m_context, m_settings.names, m_backends, m_retries,    m_pool,
+                                m_log,     m_metrics,        m_waiting,  m_lastAttempt};
+    const auto onOver = [this] {
+        carryOut(m_drain.requestFinished(m_clock.now()));
+        advanceWaiting();
+    };
+    std::make_shared<ForwardedExchange>(parts, m_routes, exchange, onOver)->start();
+}
+
 void EntryServer::stop(std::function<void()> onStopped)
 {
     m_onStopped = std::move(onStopped);
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -23,12 +23,18 @@
 /// Part of its time, in percent, that a request may wait for a backend server: what is left has to do for its work, and
 /// for coming back once.
 constexpr int longestWaitPercent = 50;
+/// Callers leave a stream without an event for the longest of this, some target latencies and some target gaps.
+constexpr std::chrono::milliseconds shortestPatience{2000};
+constexpr int patienceTargets = 4;
+constexpr int patienceGaps = 8;
+/// Part of that patience, in percent, that a stream may wait for a backend server; the rest is for its first event.
+constexpr int streamWaitPercent = 75;
 /// Part of the target latency, in percent, after which a waiting request is taken to be late: the engine needs the rest
 /// to read the prompt.
 constexpr int inTimePercent = 60;
 /// How long a request waits for an engine with short steps before it accepts any; a backlog that lasts longer asks for
 /// all that the engines can do.
-constexpr std::chrono::milliseconds uncrowdedWait{1500};
+constexpr std::chrono::milliseconds uncrowdedWait{1000};
 /// An answer up to this size is gathered before it is passed on: until then another backend server can be asked.
 constexpr std::size_t mostGatheredBytes = 64UL * 1024;
 /// Bytes that wait for a slow caller before the answer is broken off.
@@ -107,7 +113,7 @@
     if (timeLeft) {
         m_deadline = std::min(m_deadline, m_arrival + std::max(*timeLeft - answerMargin, answerMargin));
     }
-    m_waitsUntil = m_arrival + (m_deadline - m_arrival) * longestWaitPercent / 100;
+    m_waitsUntil = m_arrival + longestWait();
     m_lateFrom = m_arrival + m_route->targetLatency * inTimePercent / 100;
     m_priority = m_routes->priorityFor(*m_route, m_organisation);
     m_attempts.emplace(RequestTraits{m_route->isIdempotent(), m_deadline});
@@ -120,6 +126,17 @@
     startAttempt();
 }
 
+core::Duration ForwardedExchange::longestWait() const
+{
+    const core::Duration part = (m_deadline - m_arrival) * longestWaitPercent / 100;
+    if (m_route->kind != RouteKind::Stream) {
+        return part;
+    }
+    const auto patience
+        = std::max({shortestPatience, m_route->targetLatency * patienceTargets, m_route->targetGap * patienceGaps});
+    return std::min<core::Duration>(part, patience * streamWaitPercent / 100);
+}
+
 void ForwardedExchange::startTimer()
 {
     m_timer.expires_at(m_deadline);
