--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/groupleadership.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/groupleadership.h
@@ -23,19 +23,25 @@
     core::Duration retryPause = std::chrono::milliseconds(400);
 };
 
+/// Numbers the calls of one process: only the answer to the latest one counts.
+using LeaseCall = core::NumberId<struct LeaseCallTag>;
+
 /// Get a lease from the store; answered by leaseGranted() or callFailed().
 struct GrantLease
 {
+    LeaseCall call;
     std::chrono::milliseconds timeToLive{0};
 };
 /// Write the leader's key with the lease if the key does not exist; answered by keyWritten() or callFailed().
 struct WriteLeaderKey
 {
+    LeaseCall call;
     std::uint64_t lease = 0;
 };
 /// Answered by leaseRenewed() or callFailed().
 struct RenewLease
 {
+    LeaseCall call;
     std::uint64_t lease = 0;
 };
 struct BecameLeader
@@ -58,12 +64,12 @@
 
     /// A leader of the own group was heard.
     void leaderHeard(core::TimePoint now) { m_lastHeard = now; }
-    LeadershipActions leaseGranted(std::uint64_t lease, core::TimePoint now);
+    LeadershipActions leaseGranted(LeaseCall call, std::uint64_t lease, core::TimePoint now);
     /// The key was written at a revision of the store, or exists already.
-    LeadershipActions keyWritten(std::optional<std::uint64_t> revision, core::TimePoint now);
-    LeadershipActions leaseRenewed(core::TimePoint now);
+    LeadershipActions keyWritten(LeaseCall call, std::optional<std::uint64_t> revision, core::TimePoint now);
+    LeadershipActions leaseRenewed(LeaseCall call);
     /// The call has no answer, or the lease has ended.
-    LeadershipActions callFailed(bool hasLeaseEnded, core::TimePoint now);
+    LeadershipActions callFailed(LeaseCall call, bool hasLeaseEnded, core::TimePoint now);
     /// Another leader was found to have a higher fencing number.
     LeadershipActions fencedOff(core::TimePoint now);
     /// `rank` is the own rank within the group.
@@ -80,6 +86,7 @@
         Leading,
     };
 
+    void noteFailure(bool hasLeaseEnded, core::TimePoint now, LeadershipActions &actions);
     void stepDown(core::TimePoint now, LeadershipActions &actions);
 
     const LeadershipSettings m_settings;
@@ -90,6 +97,8 @@
     core::TimePoint m_validUntil;
     std::optional<core::TimePoint> m_renewalAsked;
     std::uint64_t m_lease = 0;
+    /// The call whose answer is awaited.
+    LeaseCall m_call;
     FencingNumber m_fence;
 };
 
--- a/packages/decisions/src/mapswitch/groupleadership.cpp
+++ b/packages/decisions/src/mapswitch/groupleadership.cpp
@@ -4,30 +4,34 @@
 
 namespace lycheelanding::decisions::mapswitch {
 
-LeadershipActions GroupLeadership::leaseGranted(std::uint64_t lease, core::TimePoint now)
+LeadershipActions GroupLeadership::leaseGranted(LeaseCall call, std::uint64_t lease, core::TimePoint now)
 {
     LeadershipActions actions;
-    if (m_state != State::Granting) {
+    if (m_state != State::Granting || call != m_call) {
         return actions;
     }
     m_lease = lease;
     m_validUntil = m_askedAt + m_settings.timeToLive;
     if (now >= m_validUntil) {
-        return callFailed(true, now);
+        noteFailure(true, now, actions);
+        return actions;
     }
     m_state = State::Writing;
-    actions.emplace_back(WriteLeaderKey{lease});
+    m_call = m_call.next();
+    actions.emplace_back(WriteLeaderKey{m_call, lease});
     return actions;
 }
 
-LeadershipActions GroupLeadership::keyWritten(std::optional<std::uint64_t> revision, core::TimePoint now)
+LeadershipActions GroupLeadership::keyWritten(LeaseCall call, std::optional<std::uint64_t> revision,
+                                              core::TimePoint now)
 {
     LeadershipActions actions;
-    if (m_state != State::Writing) {
+    if (m_state != State::Writing || call != m_call) {
         return actions;
     }
     if (!revision || now >= m_validUntil) {
-        return callFailed(true, now);
+        noteFailure(true, now, actions);
+        return actions;
     }
     m_state = State::Leading;
     m_fence = FencingNumber(*revision);
@@ -36,31 +40,38 @@
     return actions;
 }
 
-LeadershipActions GroupLeadership::leaseRenewed(core::TimePoint)
+LeadershipActions GroupLeadership::leaseRenewed(LeaseCall call)
 {
-    if (m_state == State::Leading && m_renewalAsked) {
+    if (m_state == State::Leading && m_renewalAsked && call == m_call) {
         m_askedAt = *std::exchange(m_renewalAsked, std::nullopt);
         m_validUntil = m_askedAt + m_settings.timeToLive;
     }
     return {};
 }
 
-LeadershipActions GroupLeadership::callFailed(bool hasLeaseEnded, core::TimePoint now)
+LeadershipActions GroupLeadership::callFailed(LeaseCall call, bool hasLeaseEnded, core::TimePoint now)
 {
     LeadershipActions actions;
+    if (call == m_call) {
+        noteFailure(hasLeaseEnded, now, actions);
+    }
+    return actions;
+}
+
+void GroupLeadership::noteFailure(bool hasLeaseEnded, core::TimePoint now, LeadershipActions &actions)
+{
     if (m_state == State::Leading) {
         m_renewalAsked.reset();
         m_nextTry = now + m_settings.renewInterval / 3;
         if (hasLeaseEnded) {
             stepDown(now, actions);
         }
-        return actions;
+        return;
     }
     if (m_state != State::Following) {
         m_state = State::Following;
         m_nextTry = now + m_settings.retryPause;
     }
-    return actions;
 }
 
 LeadershipActions GroupLeadership::fencedOff(core::TimePoint now)
@@ -78,7 +89,8 @@
             stepDown(now, actions);
         } else if (!m_renewalAsked && now >= m_nextTry && now - m_askedAt >= m_settings.renewInterval) {
             m_renewalAsked = now;
-            actions.emplace_back(RenewLease{m_lease});
+            m_call = m_call.next();
+            actions.emplace_back(RenewLease{m_call, m_lease});
         }
         return actions;
     }
@@ -90,7 +102,8 @@
     if (m_state == State::Following && isSilent && now >= m_nextTry) {
         m_state = State::Granting;
         m_askedAt = now;
-        actions.emplace_back(GrantLease{m_settings.timeToLive});
+        m_call = m_call.next();
+        actions.emplace_back(GrantLease{m_call, m_settings.timeToLive});
     }
     return actions;
 }
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -232,36 +232,36 @@
 
 void SideServer::carryOut(const GrantLease &action)
 {
-    m_store.grantLease(action.timeToLive, [this](const auto &answer) {
+    m_store.grantLease(action.timeToLive, [this, call = action.call](const auto &answer) {
         const auto now = m_clock.now();
         if (const auto *lease = std::get_if<std::uint64_t>(&answer)) {
-            carryOut(m_leadership.leaseGranted(*lease, now));
+            carryOut(m_leadership.leaseGranted(call, *lease, now));
         } else {
-            carryOut(m_leadership.callFailed(false, now));
+            carryOut(m_leadership.callFailed(call, false, now));
         }
     });
 }
 
 void SideServer::carryOut(const WriteLeaderKey &action)
 {
-    m_store.writeLeaderKey(m_report.group, action.lease, [this](const auto &answer) {
+    m_store.writeLeaderKey(m_report.group, action.lease, [this, call = action.call](const auto &answer) {
         const auto now = m_clock.now();
         if (const auto *revision = std::get_if<std::optional<std::uint64_t>>(&answer)) {
-            carryOut(m_leadership.keyWritten(*revision, now));
+            carryOut(m_leadership.keyWritten(call, *revision, now));
         } else {
-            carryOut(m_leadership.callFailed(std::get<LeaseFailure>(answer) == LeaseFailure::LeaseEnded, now));
+            carryOut(m_leadership.callFailed(call, std::get<LeaseFailure>(answer) == LeaseFailure::LeaseEnded, now));
         }
     });
 }
 
 void SideServer::carryOut(const RenewLease &action)
 {
-    m_store.renewLease(action.lease, [this](const std::optional<LeaseFailure> &failure) {
+    m_store.renewLease(action.lease, [this, call = action.call](const std::optional<LeaseFailure> &failure) {
         const auto now = m_clock.now();
         if (failure) {
-            carryOut(m_leadership.callFailed(*failure == LeaseFailure::LeaseEnded, now));
+            carryOut(m_leadership.callFailed(call, *failure == LeaseFailure::LeaseEnded, now));
         } else {
-            carryOut(m_leadership.leaseRenewed(now));
+            carryOut(m_leadership.leaseRenewed(call));
         }
     });
 }
