More steps ahead while orders go unanswered; findings of the linter

Ruled out: a hold left behind (GroupSwitchFuzz), the lease (held by one leader all the while but for the freezes).

--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
@@ -104,7 +104,7 @@
 struct RankCommandSettings
 {
     /// A command without an answer is repeated after this; engines answer in milliseconds.
-    core::Duration answerTimeout = std::chrono::milliseconds(150);
+    core::Duration answerTimeout = std::chrono::milliseconds(80);
 };
 
 /// Carries out the orders of one RankGate as commands to an engine that arms maps, one after the other. A command
@@ -127,6 +127,8 @@
     RankCommandActions stateRead(const RankState &state, core::TimePoint now);
     RankCommandActions tick(core::TimePoint now);
 
+    /// Commands that had to be repeated so far.
+    std::uint64_t repeats() const { return m_repeats; }
     bool isIdle() const { return m_queue.empty() && !m_preparing; }
 
 private:
@@ -139,6 +141,7 @@
     std::deque<EngineCommand> m_queue;
     bool m_isFencing = false;
     std::uint64_t m_number = 0;
+    std::uint64_t m_repeats = 0;
     core::TimePoint m_sentAt;
     /// The first command was refused for a reason that the next look at the engine tells.
     bool m_isInDoubt = false;
--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/switchcoordinator.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/switchcoordinator.h
@@ -75,6 +75,9 @@
     CoordinatorActions switchTo(core::MapVersion map, core::TimePoint now);
     CoordinatorActions tick(core::TimePoint now);
 
+    /// How many steps ahead the next switch places the first step of its map.
+    void setStepsAhead(std::uint64_t steps) { m_settings.stepsAhead = steps; }
+
     SwitchPhase phase() const { return m_phase; }
     core::Generation generation() const { return m_generation; }
     /// The map that all members were last known to use; meaningful when idle.
--- a/packages/decisions/include/lycheelanding/decisions/routing/routerequest.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/routerequest.h
@@ -46,7 +46,7 @@
 };
 
 /// One try of one request at one backend server; unique within the process.
-using AttemptId = core::NumberId<struct AttemptTag>;
+using AttemptId = core::NumberId<struct RoutedAttemptTag>;
 
 enum class Outcome : std::uint8_t {
     Answered,
--- a/packages/decisions/src/mapswitch/rankcommands.cpp
+++ b/packages/decisions/src/mapswitch/rankcommands.cpp
@@ -183,6 +183,7 @@
 {
     RankCommandActions actions;
     if (!m_queue.empty() && !m_isInDoubt && now - m_sentAt >= m_settings.answerTimeout) {
+        ++m_repeats;
         sendFirst(now, actions);
     }
     return actions;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -40,6 +40,21 @@
     AttemptId &lastAttempt;
 };
 
+/// One try at one backend server.
+struct ForwardedAttempt
+{
+    decisions::attempts::AttemptNumber number;
+    AttemptId id;
+    ChosenBackend backend;
+    http::ClientConnectionPointer connection;
+    core::TimePoint startedAt;
+    AnswerClass answerClass = AnswerClass::Own;
+    http::AnswerHead head;
+    std::string body;
+    bool hasHead = false;
+    bool hasEvent = false;
+};
+
 /// One request of a caller, from its arrival to its answer. RequestAttempts says what may be sent again and what an
 /// answer may claim; this class carries that out over connections.
 class ForwardedExchange : public std::enable_shared_from_this<ForwardedExchange>
@@ -66,21 +81,6 @@
 private:
     using AttemptNumber = decisions::attempts::AttemptNumber;
 
-    /// One try at one backend server.
-    struct Attempt
-    {
-        AttemptNumber number;
-        AttemptId id;
-        ChosenBackend backend;
-        http::ClientConnectionPointer connection;
-        core::TimePoint startedAt;
-        AnswerClass answerClass = AnswerClass::Own;
-        http::AnswerHead head;
-        std::string body;
-        bool hasHead = false;
-        bool hasEvent = false;
-    };
-
     core::Result<const Route *> findRoute();
     /// How long the request may wait for a backend server.
     core::Duration longestWait() const;
@@ -136,7 +136,7 @@
     core::TimePoint m_lateFrom;
     std::uint32_t m_priority = 0;
     std::optional<decisions::attempts::RequestAttempts> m_attempts;
-    std::optional<Attempt> m_attempt;
+    std::optional<ForwardedAttempt> m_attempt;
     std::vector<BackendId> m_tried;
     /// A failure that the last backend server answered; it goes to the caller when no other is asked.
     std::optional<http::HttpResponse> m_failure;
--- a/packages/http/include/lycheelanding/http/httpserver.h
+++ b/packages/http/include/lycheelanding/http/httpserver.h
@@ -74,7 +74,7 @@
 class HttpServer
 {
 public:
-    HttpServer(asio::io_context &context, HttpServerSettings settings, HttpHandler handler);
+    HttpServer(asio::io_context &context, const HttpServerSettings &settings, HttpHandler handler);
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
--- a/packages/http/src/httpserver.cpp
+++ b/packages/http/src/httpserver.cpp
@@ -170,7 +170,7 @@
     m_acceptTimer.cancel();
 }
 
-HttpServer::HttpServer(asio::io_context &context, HttpServerSettings settings, HttpHandler handler)
+HttpServer::HttpServer(asio::io_context &context, const HttpServerSettings &settings, HttpHandler handler)
     : m_d(std::make_shared<Private>(context, settings, std::move(handler)))
 { }
 
--- a/packages/rankgroups/src/groupswitch.cpp
+++ b/packages/rankgroups/src/groupswitch.cpp
@@ -16,16 +16,23 @@
 /// Maps whose content is remembered: the one in force, the next one and some that were withdrawn.
 constexpr std::size_t mostContents = 6;
 
+/// Engines answer an order within a part of a step.
+constexpr std::uint64_t usualStepsAhead = 2;
+/// The same while orders go unanswered: hold, arm and go of the last rank then need about a second, in which the group
+/// would stand still.
+constexpr std::uint64_t carefulStepsAhead = 16;
+/// How long after an unanswered order others are expected.
+constexpr std::chrono::seconds carefulTime{5};
+
 SwitchSettings switchSettings()
 {
     SwitchSettings settings;
     // Copies of a few experts take about a second.
     settings.stageLimit = std::chrono::seconds(15);
     // While a rank cannot be held the others may stand still at the step.
-    settings.armLimit = std::chrono::milliseconds(1000);
+    settings.armLimit = std::chrono::milliseconds(800);
     settings.idleQueryInterval = std::chrono::seconds(5);
-    // Engines answer the hold within a part of a step.
-    settings.stepsAhead = 2;
+    settings.stepsAhead = usualStepsAhead;
     return settings;
 }
 
@@ -101,6 +108,8 @@
     while (m_contents.size() > mostContents) {
         m_contents.erase(m_contents.begin());
     }
+    const bool isCareful = m_lastRepeat && now - *m_lastRepeat < carefulTime;
+    m_coordinator.setStepsAhead(isCareful ? carefulStepsAhead : usualStepsAhead);
     carryOut(m_coordinator.switchTo(version, now), now, actions);
     return actions;
 }
@@ -159,9 +168,21 @@
     for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
         carryOut(rank, m_ranks[rank].commands.tick(now), now, actions);
     }
+    noteRepeats(now);
     return actions;
 }
 
+void GroupSwitch::noteRepeats(core::TimePoint now)
+{
+    std::uint64_t repeats = 0;
+    for (const auto &rank : m_ranks) {
+        repeats += rank.commands.repeats();
+    }
+    if (repeats != std::exchange(m_repeats, repeats)) {
+        m_lastRepeat = now;
+    }
+}
+
 bool GroupSwitch::isIdle() const
 {
     // Engines take no further map while they are armed.
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -404,7 +404,9 @@
 void SideServer::readSilentMembers()
 {
     const auto now = m_clock.now();
-    for (const auto &[ip, engine] : m_engines) {
+    for (const auto &entry : m_engines) {
+        const std::string &ip = entry.first;
+        const auto &engine = entry.second;
         auto &heardAt = m_heardAt[ip];
         if (ip == m_settings.ip || now - heardAt < sideSilence) {
             continue;
