--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -9,6 +9,7 @@
 #include "lycheelanding/forwarding/retrybudgets.h"
 #include "lycheelanding/forwarding/routetable.h"
 #include "lycheelanding/forwarding/waitingrequests.h"
+#include "lycheelanding/forwarding/waitlimits.h"
 #include "lycheelanding/http/connectionpool.h"
 #include "lycheelanding/http/httpserver.h"
 #include "lycheelanding/report/metrics.h"
@@ -69,21 +70,16 @@
     /// Gives up a request that has waited for as long as it may.
     void stopWaiting();
     bool isOver() const { return m_isOver; }
-    core::TimePoint waitsUntil() const { return m_waitsUntil; }
+    core::TimePoint waitsUntil() const { return m_limits.waitsUntil; }
     const core::ServiceId &service() const { return m_service; }
     std::uint32_t priority() const { return m_priority; }
     /// Whether its answer can no longer begin within the target latency.
-    bool isLate(core::TimePoint time) const { return time >= m_lateFrom; }
-
-    /// Answers a request that was not looked at: it has not run.
-    static void refuse(const http::HttpExchangePointer &exchange, const core::Error &error);
+    bool isLate(core::TimePoint time) const { return time >= m_limits.lateFrom; }
 
 private:
     using AttemptNumber = decisions::attempts::AttemptNumber;
 
     core::Result<const Route *> findRoute();
-    /// How long the request may wait for a backend server.
-    core::Duration longestWait() const;
     void startTimer();
     void startAttempt();
     BackendRequest backendRequest() const;
@@ -132,8 +128,7 @@
     std::string m_attemptName;
     TokenFigures m_tokens;
     core::TimePoint m_deadline;
-    core::TimePoint m_waitsUntil;
-    core::TimePoint m_lateFrom;
+    WaitLimits m_limits;
     std::uint32_t m_priority = 0;
     std::optional<decisions::attempts::RequestAttempts> m_attempts;
     std::optional<ForwardedAttempt> m_attempt;
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -1,6 +1,7 @@
 #include "lycheelanding/forwarding/entryserver.h"
 
 #include "lycheelanding/core/stablehash.h"
+#include "lycheelanding/forwarding/refusal.h"
 
 #include <set>
 #include <utility>
@@ -125,7 +126,7 @@
     const auto actions = m_drain.requestArrived(m_clock.now());
     for (const auto &action : actions) {
         if (const auto *refused = std::get_if<decisions::membership::RefuseRequest>(&action)) {
-            ForwardedExchange::refuse(exchange, {refused->kind, "the entry is stopping"});
+            exchange->respond(refusal({refused->kind, "the entry is stopping"}));
         } else if (std::holds_alternative<decisions::membership::AdmitRequest>(action)) {
             if (m_routes && m_hasBackends) {
                 forward(exchange);
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -1,9 +1,9 @@
 #include "lycheelanding/forwarding/forwardedexchange.h"
 
 #include "lycheelanding/core/stablehash.h"
+#include "lycheelanding/forwarding/refusal.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace lycheelanding::forwarding {
@@ -20,29 +20,10 @@
 constexpr std::chrono::milliseconds longestConnect{1000};
 /// Part of the time left that a connection may take to open, so that another backend server can still be asked.
 constexpr int connectPart = 3;
-/// Part of its time, in percent, that a request may wait for a backend server: what is left has to do for its work, and
-/// for coming back once.
-constexpr int longestWaitPercent = 50;
-/// Callers leave a stream without an event for the longest of this, some target latencies and some target gaps.
-constexpr std::chrono::milliseconds shortestPatience{2000};
-constexpr int patienceTargets = 4;
-constexpr int patienceGaps = 8;
-/// Part of that patience, in percent, that a stream may wait for a backend server; the rest is for its first event.
-constexpr int streamWaitPercent = 75;
-/// Part of the target latency, in percent, after which a waiting request is taken to be late: the engine needs the rest
-/// to read the prompt.
-constexpr int inTimePercent = 60;
-/// How long a request waits for an engine with short steps before it accepts any; a backlog that lasts longer asks for
-/// all that the engines can do.
-constexpr std::chrono::milliseconds uncrowdedWait{1000};
 /// An answer up to this size is gathered before it is passed on: until then another backend server can be asked.
 constexpr std::size_t mostGatheredBytes = 64UL * 1024;
 /// Bytes that wait for a slow caller before the answer is broken off.
 constexpr std::size_t mostUnsentBytes = 256UL * 1024;
-/// When to come back where nothing better is known.
-constexpr std::chrono::milliseconds usualRetryAfter{200};
-/// Callers honour a time to come back up to this part of what they have left.
-constexpr int retryAfterPart = 4;
 constexpr int firstRedirect = 300;
 
 core::Error lostError(const core::Error &error)
@@ -58,24 +39,6 @@
       m_arrival(m_clock.now()), m_timer(parts.context), m_retryTimer(parts.context)
 { }
 
-void ForwardedExchange::refuse(const http::HttpExchangePointer &exchange, const core::Error &error)
-{
-    const auto &row = core::answerOf(error.kind);
-    auto response = http::jsonResponse(row.httpStatus,
-                                       "{\"kind\":\"" + std::string(row.name) + "\",\"ran\":\""
-                                           + std::string(core::nameOf(row.ran)) + "\"}");
-    if (row.retryCanSucceed) {
-        const auto wait = error.retryAfter.value_or(usualRetryAfter);
-        std::array<char, 32> text{};
-        constexpr int decimals = 3;
-        const auto end = std::to_chars(text.data(), text.data() + text.size(),
-                                       std::chrono::duration<double>(wait).count(), std::chars_format::fixed, decimals)
-                             .ptr;
-        response.headers.add("Retry-After", std::string(text.data(), end));
-    }
-    exchange->respond(std::move(response));
-}
-
 core::Result<const Route *> ForwardedExchange::findRoute()
 {
     const auto &request = m_exchange->request();
@@ -113,8 +76,7 @@
     if (timeLeft) {
         m_deadline = std::min(m_deadline, m_arrival + std::max(*timeLeft - answerMargin, answerMargin));
     }
-    m_waitsUntil = m_arrival + longestWait();
-    m_lateFrom = m_arrival + m_route->targetLatency * inTimePercent / 100;
+    m_limits = waitLimitsOf(*m_route, m_arrival, m_deadline);
     m_priority = m_routes->priorityFor(*m_route, m_organisation);
     m_attempts.emplace(RequestTraits{m_route->isIdempotent(), m_deadline});
     m_exchange->onCallerGone([weak = weak_from_this()] {
@@ -126,17 +88,6 @@
     startAttempt();
 }
 
-core::Duration ForwardedExchange::longestWait() const
-{
-    const core::Duration part = (m_deadline - m_arrival) * longestWaitPercent / 100;
-    if (m_route->kind != RouteKind::Stream) {
-        return part;
-    }
-    const auto patience
-        = std::max({shortestPatience, m_route->targetLatency * patienceTargets, m_route->targetGap * patienceGaps});
-    return std::min<core::Duration>(part, patience * streamWaitPercent / 100);
-}
-
 void ForwardedExchange::startTimer()
 {
     m_timer.expires_at(m_deadline);
@@ -154,7 +105,7 @@
     request.promptTokens = m_tokens.prompt;
     request.expectedTokens = std::max<std::uint64_t>(m_tokens.prompt + m_tokens.likelyAnswer, 1);
     request.isIdempotent = m_route->isIdempotent();
-    request.acceptsCrowded = now() - m_arrival >= uncrowdedWait;
+    request.acceptsCrowded = now() >= m_limits.crowdedFrom;
     request.tried = m_tried;
     return request;
 }
@@ -481,13 +432,6 @@
 
 void ForwardedExchange::answerError(const core::Error &error)
 {
-    core::Error shown = error;
-    if (core::answerOf(error.kind).retryCanSucceed && m_route != nullptr) {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
-        const auto wait = shown.retryAfter.value_or(usualRetryAfter);
-        shown.retryAfter
-            = std::clamp(wait, std::chrono::milliseconds(1), std::max(left / retryAfterPart, answerMargin));
-    }
     m_parts.metrics.countRefusal(error.kind);
     m_parts.log.write(LogImportance::Request, "refused",
                       {{"request", m_attemptName},
@@ -495,7 +439,7 @@
                        {"detail", error.detail},
                        {"attempts", static_cast<std::int64_t>(m_tried.size())},
                        {"configuration", m_routes ? static_cast<std::int64_t>(m_routes->version().number()) : 0}});
-    refuse(m_exchange, shown);
+    m_exchange->respond(refusal(m_route != nullptr ? withRetryAfter(error, m_deadline - now()) : error));
     over("refused", core::answerOf(error.kind).httpStatus);
 }
 
--- /dev/null
+++ b/packages/forwarding/src/waitlimits.cpp
@@ -0,0 +1,45 @@
+#include "lycheelanding/forwarding/waitlimits.h"
+
+#include <algorithm>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+constexpr int wholePercent = 100;
+/// Part of its time, in percent, that a request may wait for a backend server: what is left has to do for its work, and
+/// for coming back once.
+constexpr int longestWaitPercent = 50;
+/// Callers leave a stream without an event for the longest of this, some target latencies and some target gaps.
+constexpr std::chrono::milliseconds shortestPatience{2000};
+constexpr int patienceTargets = 4;
+constexpr int patienceGaps = 8;
+/// Part of that patience, in percent, that a stream may wait for a backend server; the rest is for its first event.
+constexpr int streamWaitPercent = 75;
+/// Part of the target latency, in percent, after which a waiting request is taken to be late: the engine needs the rest
+/// to read the prompt.
+constexpr int inTimePercent = 60;
+/// How long a request waits for an engine with short steps before it accepts any; a backlog that lasts longer asks for
+/// all that the engines can do.
+constexpr std::chrono::milliseconds uncrowdedWait{1000};
+
+core::Duration longestWait(const Route &route, core::Duration time)
+{
+    const core::Duration part = time * longestWaitPercent / wholePercent;
+    if (route.kind != RouteKind::Stream) {
+        return part;
+    }
+    const auto patience
+        = std::max({shortestPatience, route.targetLatency * patienceTargets, route.targetGap * patienceGaps});
+    return std::min<core::Duration>(part, patience * streamWaitPercent / wholePercent);
+}
+
+} // namespace
+
+WaitLimits waitLimitsOf(const Route &route, core::TimePoint arrival, core::TimePoint deadline)
+{
+    return {arrival + longestWait(route, deadline - arrival),
+            arrival + route.targetLatency * inTimePercent / wholePercent, arrival + uncrowdedWait};
+}
+
+} // namespace lycheelanding::forwarding
