--- a/packages/http/tests/testserver.h
+++ b/packages/http/tests/testserver.h
@@ -21,8 +21,8 @@
 class TestServer
 {
 public:
-    explicit TestServer(HttpHandler handler, HttpServerSettings settings = {})
-        : m_work(m_context.get_executor()), m_server(m_context, std::move(settings), std::move(handler))
+    explicit TestServer(HttpHandler handler, const HttpServerSettings &settings = {})
+        : m_work(m_context.get_executor()), m_server(m_context, settings, std::move(handler))
     {
         started = core::isOk(m_server.start());
         for (int index = 0; index < 3; ++index) {
