--- a/packages/decisions/tests/membership/backenddirectorytest.cpp
+++ b/packages/decisions/tests/membership/backenddirectorytest.cpp
@@ -153,6 +153,7 @@
                 isLost = false;
             }
             std::vector<RegisteredBackend> all;
+            all.reserve(truth.size());
             for (const auto &[each, isReady] : truth) {
                 all.push_back(isReady ? backendNamed(each) : drainingNamed(each));
             }
