--- a/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
+++ b/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
@@ -126,11 +126,6 @@
     FollowerActions resumed(core::TimePoint now);
     FollowerActions tick(core::TimePoint now);
 
-    bool hasListed() const { return m_hasListed; }
-    bool isInContact() const { return m_isInContact; }
-    /// When the store last answered.
-    core::TimePoint lastContact() const { return m_lastContact; }
-
 private:
     enum class Phase : std::uint8_t {
         Stopped,
@@ -150,7 +145,7 @@
     void watch(core::TimePoint now, FollowerActions &actions);
     void endReading(core::TimePoint now, FollowerActions &actions);
     void pause(core::TimePoint now, FollowerActions &actions);
-    void contact(core::TimePoint now, FollowerActions &actions);
+    void contact(FollowerActions &actions);
     void abandonCall(FollowerActions &actions);
 
     const FollowerSettings m_settings;
@@ -165,9 +160,7 @@
     std::uint64_t m_revision = 0;
     /// The first page of the reading in progress has come.
     bool m_hasFirstPage = false;
-    bool m_hasListed = false;
     bool m_isInContact = true;
-    core::TimePoint m_lastContact;
     /// Newest revision of each key that exists, to tell late news from new ones.
     std::map<std::string, std::uint64_t> m_revisions;
 };
--- a/packages/decisions/src/distribution/prefixfollower.cpp
+++ b/packages/decisions/src/distribution/prefixfollower.cpp
@@ -12,7 +12,6 @@
 FollowerActions PrefixFollower::start(core::TimePoint now)
 {
     FollowerActions actions;
-    m_lastContact = now;
     beginReading(now, actions);
     return actions;
 }
@@ -23,7 +22,7 @@
     if (m_phase != Phase::Reading || call != m_call) {
         return actions;
     }
-    contact(now, actions);
+    contact(actions);
     if (!std::exchange(m_hasFirstPage, true)) {
         // What changes while further pages are read is told by the watch.
         m_revision = page.atRevision;
@@ -51,7 +50,6 @@
     }
     m_pages.clear();
     m_revisions = std::move(revisions);
-    m_hasListed = true;
     actions.emplace_back(std::move(listed));
     watch(now, actions);
 }
@@ -62,7 +60,7 @@
     if (m_phase != Phase::Watching || call != m_call) {
         return actions;
     }
-    contact(now, actions);
+    contact(actions);
     for (const auto &event : events.events) {
         if (const auto *written = std::get_if<StoreEntry>(&event)) {
             auto &known = m_revisions[written->key];
@@ -92,7 +90,7 @@
         return actions;
     }
     if (failure == StoreCallFailure::HistoryGone) {
-        contact(now, actions);
+        contact(actions);
         beginReading(now, actions);
         return actions;
     }
@@ -167,9 +165,8 @@
     m_pause = std::min(m_pause * 2, m_settings.longestPause);
 }
 
-void PrefixFollower::contact(core::TimePoint now, FollowerActions &actions)
+void PrefixFollower::contact(FollowerActions &actions)
 {
-    m_lastContact = now;
     m_pause = m_settings.shortestPause;
     if (!std::exchange(m_isInContact, true)) {
         actions.emplace_back(ContactRegained{});
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -24,7 +24,6 @@
 struct BackendRequest
 {
     core::ServiceId service;
-    std::uint64_t promptTokens = 0;
     /// Prompt and answer tokens; 1 for a plain service.
     std::uint64_t expectedTokens = 1;
     bool isIdempotent = false;
--- a/packages/forwarding/include/lycheelanding/forwarding/eventlog.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/eventlog.h
@@ -40,7 +40,6 @@
     void write(LogImportance importance, std::string_view event, std::initializer_list<LogField> fields);
     /// Hands what is buffered to the descriptor, as much as it takes now.
     void flush();
-    std::uint64_t droppedLines() const { return m_dropped; }
 
 private:
     bool isOverRate(LogImportance importance);
--- a/packages/forwarding/include/lycheelanding/forwarding/fieldnames.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/fieldnames.h
@@ -17,8 +17,6 @@
     std::string organisation;
     /// Only the backend server of this name may run the request.
     std::string expectedBackend;
-    /// The name of the backend server that answers.
-    std::string backend;
     /// In an answer: the request has not run.
     std::string notRun;
     /// Proves that an answer is the backend server's own.
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -86,7 +86,6 @@
     void begin(const ChosenBackend &chosen);
     void openConnection();
     void connected(AttemptNumber attempt, const core::Status &status);
-    void send();
     http::AnswerHandlers answerHandlers(AttemptNumber attempt);
     bool isCurrent(AttemptNumber attempt) const { return m_attempt && m_attempt->number == attempt; }
 
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -102,7 +102,6 @@
 {
     BackendRequest request;
     request.service = m_service;
-    request.promptTokens = m_tokens.prompt;
     request.expectedTokens = std::max<std::uint64_t>(m_tokens.prompt + m_tokens.likelyAnswer, 1);
     request.isIdempotent = m_route->isIdempotent();
     request.acceptsCrowded = now() >= m_limits.crowdedFrom;
--- a/packages/forwarding/tests/entryworld.h
+++ b/packages/forwarding/tests/entryworld.h
@@ -185,7 +185,6 @@
         settings.names.key = "Key";
         settings.names.organisation = "Organisation";
         settings.names.expectedBackend = "Expected";
-        settings.names.backend = "Backend";
         settings.names.notRun = "Not-Run";
         settings.names.proof = "Proof";
         settings.names.tokens = "Tokens";
