RequestAttempts says what the daemon's ForwardedRequest may send again

They stand once now; a claim's question to its holder counts as an attempt that may have run, as before.

--- a/packages/daemon/src/entry/forwardedrequest.cpp
+++ b/packages/daemon/src/entry/forwardedrequest.cpp
@@ -1,6 +1,5 @@
 #include "entry/forwardedrequest.h"
 
-#include "lycheelanding/core/stablehash.h"
 #include "shared/forwardedheaders.h"
 #include "shared/randomnumbers.h"
 
@@ -14,6 +13,7 @@
 namespace {
 
 using decisions::routing::Outcome;
+using namespace decisions::attempts;
 
 /// How long a request waits for a place at the backend servers of its model or service before it is refused.
 constexpr std::chrono::milliseconds longestWaitForRoom(1000);
@@ -28,22 +28,11 @@
     return urgency == normalUrgency ? decisions::admission::Priority::Normal : decisions::admission::Priority::Low;
 }
 
-std::uint32_t fingerprintOf(const http::HttpRequest &request)
-{
-    return static_cast<std::uint32_t>(core::stableHash(request.method + " " + request.target + "\n" + request.body));
-}
-
 core::Error noConnection(const core::VmId &vm)
 {
     return core::Error{core::ErrorKind::NoBackendServer, "no connection to " + vm.text()};
 }
 
-wire::ClaimReference claimReference(decisions::idempotency::AttemptNonce nonce,
-                                    const decisions::idempotency::SideId &side, core::WallTime claimedAt)
-{
-    return {nonce.number(), side.incarnation, claimedAt.time_since_epoch().count()};
-}
-
 } // namespace
 
 ForwardedRequest::ForwardedRequest(EntryServices &services, http::HttpExchangePointer exchange,
@@ -51,8 +40,13 @@
     : m_services(services), m_strand(asio::make_strand(services.context)), m_deadlineTimer(services.context),
       m_retryTimer(services.context), m_exchange(std::move(exchange)), m_request(std::move(request)),
       m_ticket(shared::randomNumber()), m_startedAt(m_clock.now()), m_deadline(m_startedAt + m_request.timeout),
-      m_gapLimit(services.observer.gapLimit(m_request)), m_writer(m_exchange, services.maxUnsentBytes)
-{ }
+      m_tokens(services.observer.gapLimit(m_request)), m_writer(m_exchange, services.maxUnsentBytes),
+      m_rules({m_request.isIdempotent, m_deadline})
+{
+    if (!m_request.idempotencyKey.empty()) {
+        m_claim.emplace(m_services.claims, m_request);
+    }
+}
 
 template <typename Handler>
 void ForwardedRequest::post(Handler handler)
@@ -90,7 +84,7 @@
 void ForwardedRequest::admitted(const core::Result<decisions::admission::Admitted> &result)
 {
     if (!core::isOk(result)) {
-        finishWithError(core::errorOf(result));
+        carryOut(m_rules.giveUp(core::errorOf(result)));
         return;
     }
     m_isAdmitted = true;
@@ -102,18 +96,18 @@
 {
     auto route = m_request.route;
     route.excluded = m_tried;
-    const decisions::routing::AttemptId attempt(shared::randomNumber());
-    const auto choice = m_services.backends.chooseAndSend(route, attempt);
+    const decisions::routing::AttemptId routedAttempt(shared::randomNumber());
+    const auto choice = m_services.backends.chooseAndSend(route, routedAttempt);
     if (!core::isOk(choice)) {
         waitForRoom(core::errorOf(choice));
         return;
     }
     m_choice = core::valueOf(choice);
-    m_routedAttempt = attempt;
-    if (m_request.idempotencyKey.empty()) {
-        send();
-    } else {
+    m_routedAttempt = routedAttempt;
+    if (m_claim) {
         claimThenSend();
+    } else {
+        send();
     }
 }
 
@@ -126,7 +120,7 @@
     // Admission counts the places of all backend servers together; those of one model or service may be taken.
     const bool isFull = error.kind == core::ErrorKind::Overloaded;
     if (!isFull || now + roomCheckInterval >= *m_roomUntil) {
-        finishWithError(error);
+        carryOut(m_rules.giveUp(error));
         return;
     }
     chooseAfter(roomCheckInterval);
@@ -136,51 +130,36 @@
 {
     const auto incarnation = m_services.links.incarnationOf(m_choice->vm);
     if (!incarnation) {
-        attemptFailed(noConnection(m_choice->vm), core::Ran::No, Outcome::Refused);
+        const auto attempt = m_rules.attemptStarted();
+        endAttempt(Outcome::Refused);
+        carryOut(m_rules.notSent(attempt, noConnection(m_choice->vm), m_clock.now()));
         return;
     }
     const decisions::idempotency::SideId side{m_choice->vm, *incarnation};
+    if (m_claim->isGrantedFor(side)) {
+        send();
+        return;
+    }
     const auto onVerdict = [self = shared_from_this()](const ClaimVerdict &verdict) {
         self->post([verdict](auto &current) { current.claimDecided(verdict); });
     };
-    if (m_claim && m_claim->isGranted) {
-        if (m_claim->side == side) {
-            send();
-            return;
-        }
-        m_claim->side = side;
-        m_services.claims.move(m_claim->key, m_claim->nonce, side, onVerdict);
-        return;
-    }
-    using namespace decisions::idempotency;
-    m_claim = Claim{keyHashOf(m_request.organisation, m_request.idempotencyKey), AttemptNonce(shared::randomNumber()),
-                    side, m_clock.wallNow(), false};
-    const ClaimRequest request{m_claim->key, m_claim->nonce,     fingerprintOf(m_exchange->request()),
-                               side,         m_claim->claimedAt, creationTimeOf(m_request.idempotencyKey)};
-    m_services.claims.claim(request, onVerdict);
+    m_claim->obtain(side, m_exchange->request(), m_clock.wallNow(), onVerdict);
 }
 
 void ForwardedRequest::claimDecided(const ClaimVerdict &verdict)
 {
-    const auto *refused = std::get_if<decisions::idempotency::Refused>(&verdict);
-    if (refused == nullptr) {
-        if (const auto *granted = std::get_if<decisions::idempotency::Granted>(&verdict)) {
-            m_claim->claimedAt = granted->claimedAt;
-        }
-        m_claim->isGranted = true;
+    const auto refused = m_claim->decided(verdict);
+    if (!refused) {
         send();
         return;
     }
     endAttempt(Outcome::Cancelled);
-    if (!m_claim->isGranted) {
-        m_claim.reset();
-    }
-    if (refused->error.kind != core::ErrorKind::AlreadyClaimed || !refused->holder || m_holder) {
-        finishWithError(refused->error);
+    if (refused->error.kind != core::ErrorKind::AlreadyClaimed || !refused->holder || m_claim->holder()) {
+        carryOut(m_rules.giveUp(refused->error));
         return;
     }
     if (!refused->holder->isSameBody) {
-        finishWithError({core::ErrorKind::AlreadyClaimed, "the idempotency key was used for another request"});
+        carryOut(m_rules.giveUp({core::ErrorKind::AlreadyClaimed, "the idempotency key was used for another request"}));
         return;
     }
     askHolder(*refused->holder);
@@ -188,39 +167,53 @@
 
 void ForwardedRequest::askHolder(const decisions::idempotency::Holder &holder)
 {
-    m_holder = holder;
-    if (!openAttempt(holder.side.vm, true)) {
-        finishWithError({core::ErrorKind::AlreadyClaimed, "the request was sent before; its answer cannot be had"});
+    m_claim->askedHolder(holder);
+    // The earlier attempt may have run, so the question to its holder counts as an attempt that may have.
+    const auto attempt = m_rules.attemptStarted();
+    if (!openAttempt(holder.side.vm, attempt, true)) {
+        carryOut(m_rules.notSent(
+            attempt, {core::ErrorKind::AlreadyClaimed, "the request was sent before; its answer cannot be had"},
+            m_clock.now()));
         return;
     }
-    m_attempt->link->send(wire::makeFrame(
-        wire::KeptAnswerQuery{m_attempt->key, claimReference(holder.nonce, holder.side, holder.claimedAt)},
-        m_services.configuration.version()));
+    carryOut(m_rules.readyToSend(attempt));
 }
 
-bool ForwardedRequest::openAttempt(const core::VmId &vm, bool asksHolder)
+bool ForwardedRequest::openAttempt(const core::VmId &vm, AttemptNumber number, bool asksHolder)
 {
     const auto link = m_services.links.find(vm);
     if (!link) {
         return false;
     }
-    m_attempt = Attempt{m_services.requests.add(shared_from_this(), link), link, m_clock.now(), false, asksHolder};
+    const auto key = m_services.requests.add(shared_from_this(), link);
+    m_attempt = Attempt{number, key, link, m_clock.now(), false, asksHolder};
     m_writer.restart(m_attempt->key);
     return true;
 }
 
 void ForwardedRequest::send()
 {
-    ++m_attempts;
     m_tried.push_back(m_choice->vm);
-    if (!openAttempt(m_choice->vm, false)) {
-        attemptFailed(noConnection(m_choice->vm), core::Ran::No, Outcome::Refused);
+    const auto attempt = m_rules.attemptStarted();
+    if (!openAttempt(m_choice->vm, attempt, false)) {
+        endAttempt(Outcome::Refused);
+        carryOut(m_rules.notSent(attempt, noConnection(m_choice->vm), m_clock.now()));
         return;
     }
-    if (m_attempts == 1) {
+    if (m_tried.size() == 1) {
         m_services.retries.firstAttemptSent();
     }
-    m_attempt->link->send(wire::makeFrame(startMessage(), m_services.configuration.version()));
+    carryOut(m_rules.readyToSend(attempt));
+}
+
+void ForwardedRequest::carryOut(const SendRequest &)
+{
+    const auto version = m_services.configuration.version();
+    if (!m_attempt->asksHolder) {
+        m_attempt->link->send(wire::makeFrame(startMessage(), version));
+        return;
+    }
+    m_attempt->link->send(wire::makeFrame(wire::KeptAnswerQuery{m_attempt->key, m_claim->holderReference()}, version));
 }
 
 wire::RequestStart ForwardedRequest::startMessage() const
@@ -232,7 +225,7 @@
     message.organisation = m_request.organisation;
     message.isIdempotent = m_request.isIdempotent;
     if (m_claim) {
-        message.claim = claimReference(m_claim->nonce, m_claim->side, m_claim->claimedAt);
+        message.claim = m_claim->reference();
     }
     message.timeoutMs = static_cast<std::uint32_t>(std::max<std::int64_t>(timeLeft.count(), 1));
     message.urgency = m_isBeyondShare ? urgencyBeyondShare(m_request.urgency) : m_request.urgency;
@@ -264,21 +257,23 @@
             error.retryAfter = std::chrono::milliseconds(refused.retryAfterMs);
         }
         const bool isLeaving = refused.kind == core::ErrorKind::Draining;
-        current.attemptFailed(error, core::Ran::No, isLeaving ? Outcome::Leaving : Outcome::Refused);
+        const auto attempt = current.m_attempt->number;
+        current.endAttempt(isLeaving ? Outcome::Leaving : Outcome::Refused);
+        current.carryOut(current.m_rules.refused(attempt, error, current.m_clock.now()));
     });
 }
 
 void ForwardedRequest::holderRefused(const wire::RequestRefused &refused)
 {
+    const auto attempt = m_attempt->number;
     endAttempt(Outcome::Cancelled);
-    if (refused.kind != core::ErrorKind::NoBackendServer) {
-        finishWithError({core::ErrorKind::AlreadyClaimed, refused.detail});
+    const auto actions = m_rules.refused(attempt, {core::ErrorKind::AlreadyClaimed, refused.detail}, m_clock.now());
+    if (refused.kind != core::ErrorKind::NoBackendServer || m_rules.isOver()) {
+        carryOut(actions);
         return;
     }
     // The holder's side has promised never to run the earlier attempt: the key is free for this one.
-    m_services.claims.releaseForbidden(
-        decisions::idempotency::keyHashOf(m_request.organisation, m_request.idempotencyKey), m_holder->nonce,
-        m_holder->side);
+    m_claim->releaseHolder();
     choose();
 }
 
@@ -301,8 +296,7 @@
 {
     post([key, error](auto &current) {
         if (current.isCurrent(key)) {
-            current.attemptFailed({core::ErrorKind::BackendServerLost, error.detail}, core::Ran::Unknown,
-                                  Outcome::Failed);
+            current.attemptLost({core::ErrorKind::BackendServerLost, error.detail}, Outcome::Failed);
         }
     });
 }
@@ -313,8 +307,9 @@
         return;
     }
     const auto status = m_writer.writeHead(head);
+    noteAnswering();
     if (!core::isOk(status)) {
-        attemptFailed(core::errorOf(status), core::Ran::Unknown, Outcome::Failed);
+        attemptLost(core::errorOf(status), Outcome::Failed);
     }
 }
 
@@ -324,7 +319,9 @@
         return;
     }
     const auto now = m_clock.now();
-    noteToken(now);
+    if (const auto gap = m_tokens.tokenArrived(now)) {
+        m_services.observer.tokenGap(*gap);
+    }
     if (m_routedAttempt && !m_attempt->hasFirstToken) {
         m_attempt->hasFirstToken = true;
         m_services.backends.firstToken(*m_routedAttempt, m_choice->vm, m_request.promptTokens, now - m_attempt->sentAt);
@@ -332,6 +329,7 @@
         m_services.backends.tokenProgress(*m_routedAttempt);
     }
     const auto status = m_writer.writeChunk(chunk);
+    noteAnswering();
     if (core::isOk(status)) {
         return;
     }
@@ -340,20 +338,14 @@
         onCallerGone();
         return;
     }
-    attemptFailed(core::errorOf(status), core::Ran::Unknown, Outcome::Failed);
+    attemptLost(core::errorOf(status), Outcome::Failed);
 }
 
-void ForwardedRequest::noteToken(core::TimePoint now)
+void ForwardedRequest::noteAnswering()
 {
-    if (!m_firstTokenAt) {
-        m_firstTokenAt = now;
-    } else {
-        const auto gap = now - *m_lastTokenAt;
-        ++m_gaps;
-        m_slowGaps += m_gapLimit && gap > *m_gapLimit ? 1 : 0;
-        m_services.observer.tokenGap(gap);
+    if (m_writer.hasBegun()) {
+        carryOut(m_rules.answering(m_attempt->number));
     }
-    m_lastTokenAt = now;
 }
 
 void ForwardedRequest::onEnd(const wire::AnswerEnd &end)
@@ -362,41 +354,73 @@
         return;
     }
     const auto status = m_writer.writeEnd(end);
+    noteAnswering();
     if (!core::isOk(status)) {
         const bool isTimeout = core::errorOf(status).kind == core::ErrorKind::DeadlineExceeded;
-        attemptFailed(core::errorOf(status), core::Ran::Unknown, isTimeout ? Outcome::TimedOut : Outcome::Failed);
+        attemptLost(core::errorOf(status), isTimeout ? Outcome::TimedOut : Outcome::Failed);
         return;
     }
     constexpr int firstServerError = 500;
+    const auto attempt = m_attempt->number;
     endAttempt(m_writer.status() >= firstServerError ? Outcome::Failed : Outcome::Answered);
-    RequestEnd requestEnd;
-    requestEnd.status = m_writer.status();
-    finishAnswered(requestEnd);
+    carryOut(m_rules.answered(attempt));
 }
 
-void ForwardedRequest::attemptFailed(const core::Error &error, core::Ran ran, Outcome outcome)
+void ForwardedRequest::attemptLost(const core::Error &error, Outcome outcome)
 {
+    const auto attempt = m_attempt->number;
     endAttempt(outcome);
-    if (ran != core::Ran::No) {
-        m_mayHaveRun = true;
-    }
-    if (m_writer.hasBegun()) {
-        finishWithError(error);
-        return;
+    carryOut(m_rules.lost(attempt, error, m_clock.now()));
+}
+
+void ForwardedRequest::carryOut(const AttemptActions &actions)
+{
+    for (const auto &action : actions) {
+        std::visit([this](const auto &each) { carryOut(each); }, action);
     }
+}
+
+void ForwardedRequest::carryOut(const RetryPossible &action)
+{
     decisions::retry::FailedAttempt failed;
-    failed.attempt = std::max<std::uint32_t>(m_attempts, 1);
-    failed.error = error;
-    failed.ran = ran;
+    failed.attempt = std::max<std::uint32_t>(static_cast<std::uint32_t>(m_tried.size()), 1);
+    failed.error = action.error;
+    failed.ran = action.ran;
     failed.idempotent = m_request.isIdempotent;
     failed.deadline = m_deadline;
     const auto decision = m_services.retries.attemptFailed(failed);
-    if (const auto *retry = std::get_if<decisions::retry::RetryAfter>(&decision)) {
-        m_services.observer.retried();
-        chooseAfter(retry->delay);
+    if (const auto *giveUp = std::get_if<decisions::retry::GiveUp>(&decision)) {
+        carryOut(m_rules.giveUp(giveUp->error));
         return;
     }
-    finishWithError(std::get<decisions::retry::GiveUp>(decision).error);
+    m_services.observer.retried();
+    chooseAfter(std::get<decisions::retry::RetryAfter>(decision).delay);
+}
+
+void ForwardedRequest::carryOut(const CancelAttempt &action)
+{
+    if (m_attempt && m_attempt->number == action.attempt) {
+        endAttempt(Outcome::Cancelled);
+    }
+}
+
+void ForwardedRequest::carryOut(const AnswerError &action)
+{
+    m_writer.fail(action.error);
+    endWithError(RequestEndKind::Refused, action.error.kind);
+}
+
+void ForwardedRequest::carryOut(const BreakAnswer &action)
+{
+    m_writer.fail(action.error);
+    endWithError(RequestEndKind::BrokenOff, action.error.kind);
+}
+
+void ForwardedRequest::carryOut(const RequestDone &)
+{
+    RequestEnd requestEnd;
+    requestEnd.status = m_writer.status();
+    end(requestEnd);
 }
 
 void ForwardedRequest::chooseAfter(core::Duration delay)
@@ -411,24 +435,18 @@
 
 void ForwardedRequest::onDeadline()
 {
-    const bool isUnderWay = m_attempt.has_value();
+    // The attempt's end tells the selector that its time ran out; the rules only know that nobody waits for it.
     endAttempt(Outcome::TimedOut);
-    if (isUnderWay) {
-        m_mayHaveRun = true;
-    }
-    finishWithError({m_mayHaveRun ? core::ErrorKind::DeadlineExceeded : core::ErrorKind::DeadlineUnmeetable,
-                     "no whole answer within the request's time limit"});
+    carryOut(m_rules.tick(std::max(m_clock.now(), m_deadline)));
 }
 
 void ForwardedRequest::onCallerGone()
 {
-    if (m_attempt) {
-        m_mayHaveRun = true;
-    }
+    carryOut(m_rules.callerGone());
     endAttempt(Outcome::Cancelled);
     RequestEnd requestEnd;
     requestEnd.kind = RequestEndKind::CallerGone;
-    finishAnswered(requestEnd);
+    end(requestEnd);
 }
 
 void ForwardedRequest::endAttempt(Outcome outcome)
@@ -448,22 +466,12 @@
     m_attempt.reset();
 }
 
-void ForwardedRequest::finishWithError(core::Error error)
+void ForwardedRequest::endWithError(RequestEndKind kind, core::ErrorKind error)
 {
-    // An earlier attempt may have run: no later refusal may claim that the request has not.
-    if (m_mayHaveRun && core::answerOf(error.kind).ran == core::Ran::No) {
-        error = {core::ErrorKind::BackendServerLost, error.detail};
-    }
     RequestEnd requestEnd;
-    requestEnd.kind = m_writer.hasBegun() ? RequestEndKind::BrokenOff : RequestEndKind::Refused;
-    requestEnd.error = error.kind;
-    requestEnd.status = core::answerOf(error.kind).httpStatus;
-    m_writer.fail(error);
-    end(requestEnd);
-}
-
-void ForwardedRequest::finishAnswered(RequestEnd requestEnd)
-{
+    requestEnd.kind = kind;
+    requestEnd.error = error;
+    requestEnd.status = core::answerOf(error).httpStatus;
     end(requestEnd);
 }
 
@@ -472,20 +480,16 @@
     m_isEnded = true;
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
-    if (m_claim && !m_mayHaveRun && requestEnd.kind != RequestEndKind::Answered) {
-        m_services.claims.release(m_claim->key, m_claim->nonce);
+    if (m_claim && !m_rules.mayHaveRun() && requestEnd.kind != RequestEndKind::Answered) {
+        m_claim->release();
     }
     if (m_isAdmitted) {
         m_services.admission.completed(m_ticket);
     } else {
         m_services.admission.cancelled(m_ticket);
     }
-    requestEnd.gaps = m_gaps;
-    requestEnd.slowGaps = m_slowGaps;
+    m_tokens.report(requestEnd, m_startedAt);
     requestEnd.duration = m_clock.now() - m_startedAt;
-    if (m_firstTokenAt) {
-        requestEnd.firstToken = *m_firstTokenAt - m_startedAt;
-    }
     m_services.observer.ended(m_request, requestEnd);
     m_services.gate.finished();
 }
--- a/packages/daemon/src/entry/forwardedrequest.h
+++ b/packages/daemon/src/entry/forwardedrequest.h
@@ -3,8 +3,10 @@
 #include "entry/answerwriter.h"
 #include "entry/classifiedrequest.h"
 #include "entry/entryservices.h"
+#include "entry/requestclaim.h"
+#include "entry/tokentimes.h"
 
-#include "lycheelanding/decisions/idempotency/claimkey.h"
+#include "lycheelanding/decisions/attempts/requestattempts.h"
 #include "lycheelanding/http/httpserver.h"
 #include "lycheelanding/wire/messages.h"
 
@@ -17,7 +19,8 @@
 
 namespace lycheelanding::daemon::entry {
 
-/// One caller's request from admission to the end of its answer, over all its attempts.
+/// One caller's request from admission to the end of its answer, over all its attempts. RequestAttempts says what may
+/// be sent again and what an answer may claim; this class carries that out over the links to the sides.
 ///
 /// Public members may be called from any thread; the work is done on a strand of the request's own.
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
@@ -33,9 +36,12 @@
     void receiveLinkLost(const wire::RequestKey &key, const core::Error &error);
 
 private:
+    using AttemptNumber = decisions::attempts::AttemptNumber;
+
     /// One message to a side and what came of it.
     struct Attempt
     {
+        AttemptNumber number;
         wire::RequestKey key;
         wire::PeerConnectionPointer link;
         core::TimePoint sentAt;
@@ -44,16 +50,6 @@
         bool asksHolder = false;
     };
 
-    /// The claim of a request with an idempotency key.
-    struct Claim
-    {
-        decisions::idempotency::KeyHash key;
-        decisions::idempotency::AttemptNonce nonce;
-        decisions::idempotency::SideId side;
-        core::WallTime claimedAt;
-        bool isGranted = false;
-    };
-
     template <typename Handler>
     void post(Handler handler);
     bool isCurrent(const wire::RequestKey &key) const { return m_attempt && m_attempt->key == key; }
@@ -65,23 +61,28 @@
     void send();
     void askHolder(const decisions::idempotency::Holder &holder);
     void holderRefused(const wire::RequestRefused &refused);
-    bool openAttempt(const core::VmId &vm, bool asksHolder);
+    bool openAttempt(const core::VmId &vm, AttemptNumber number, bool asksHolder);
     wire::RequestStart startMessage() const;
 
     void onHead(const wire::AnswerHead &head);
     void onChunk(const wire::AnswerChunk &chunk);
-    void noteToken(core::TimePoint now);
     void onEnd(const wire::AnswerEnd &end);
-    void attemptFailed(const core::Error &error, core::Ran ran, decisions::routing::Outcome outcome);
+    void noteAnswering();
+    void attemptLost(const core::Error &error, decisions::routing::Outcome outcome);
+    void carryOut(const decisions::attempts::AttemptActions &actions);
+    void carryOut(const decisions::attempts::RetryPossible &action);
+    void carryOut(const decisions::attempts::SendRequest &action);
+    void carryOut(const decisions::attempts::CancelAttempt &action);
+    void carryOut(const decisions::attempts::AnswerError &action);
+    void carryOut(const decisions::attempts::BreakAnswer &action);
+    void carryOut(const decisions::attempts::RequestDone &action);
     void chooseAfter(core::Duration delay);
     void waitForRoom(const core::Error &error);
     void onDeadline();
     void onCallerGone();
 
     void endAttempt(decisions::routing::Outcome outcome);
-    /// The answer is whole or the caller has gone.
-    void finishAnswered(RequestEnd end);
-    void finishWithError(core::Error error);
+    void endWithError(RequestEndKind kind, core::ErrorKind error);
     void end(RequestEnd end);
 
     EntryServices &m_services;
@@ -94,26 +95,20 @@
     const decisions::admission::TicketId m_ticket;
     const core::TimePoint m_startedAt;
     const core::TimePoint m_deadline;
-    const std::optional<core::Duration> m_gapLimit;
     // Below: only touched on the strand.
+    TokenTimes m_tokens;
     AnswerWriter m_writer;
+    decisions::attempts::RequestAttempts m_rules;
     bool m_isAdmitted = false;
     bool m_isBeyondShare = false;
     bool m_isEnded = false;
-    /// An attempt was sent that no side has refused.
-    bool m_mayHaveRun = false;
-    std::uint32_t m_attempts = 0;
     std::vector<core::VmId> m_tried;
     std::optional<decisions::routing::Choice> m_choice;
     std::optional<decisions::routing::AttemptId> m_routedAttempt;
     std::optional<Attempt> m_attempt;
     std::optional<core::TimePoint> m_roomUntil;
-    std::optional<Claim> m_claim;
-    std::optional<decisions::idempotency::Holder> m_holder;
-    std::optional<core::TimePoint> m_firstTokenAt;
-    std::optional<core::TimePoint> m_lastTokenAt;
-    std::uint32_t m_gaps = 0;
-    std::uint32_t m_slowGaps = 0;
+    /// Of a request with an idempotency key.
+    std::optional<RequestClaim> m_claim;
 };
 
 } // namespace lycheelanding::daemon::entry
--- /dev/null
+++ b/packages/daemon/src/entry/requestclaim.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "entry/claimservice.h"
+#include "entry/classifiedrequest.h"
+#include "entry/observedstore.h"
+
+#include "lycheelanding/decisions/idempotency/claimkey.h"
+#include "lycheelanding/http/httpserver.h"
+#include "lycheelanding/wire/messages.h"
+
+#include <optional>
+
+namespace lycheelanding::daemon::entry {
+
+/// The claim of one request with an idempotency key: which side may run it, or which attempt of another request holds
+/// the key. Used on the request's strand.
+class RequestClaim
+{
+public:
+    RequestClaim(ClaimService<ObservedStore> &claims, const ClassifiedRequest &request);
+
+    bool isGrantedFor(const decisions::idempotency::SideId &side) const
+    {
+        return m_claim && m_claim->isGranted && m_claim->side == side;
+    }
+    /// The attempt that holds the key, once askedHolder() was told of it.
+    const std::optional<decisions::idempotency::Holder> &holder() const { return m_holder; }
+    /// What a side needs to check the claim; nothing for a request without one.
+    std::optional<wire::ClaimReference> reference() const;
+    wire::ClaimReference holderReference() const;
+
+    /// Claims the key for an attempt at `side`, or moves a granted claim there. The handler is called once, on any
+    /// thread.
+    void obtain(const decisions::idempotency::SideId &side, const http::HttpRequest &request, core::WallTime wallNow,
+                ClaimHandler onVerdict);
+    /// Takes the end of obtain(); an error when the request must not run.
+    std::optional<decisions::idempotency::Refused> decided(const ClaimVerdict &verdict);
+    void askedHolder(const decisions::idempotency::Holder &holder) { m_holder = holder; }
+    /// The holder's side has promised never to run its attempt.
+    void releaseHolder();
+    /// The request has provably not run and never will.
+    void release();
+
+private:
+    struct Claim
+    {
+        decisions::idempotency::AttemptNonce nonce;
+        decisions::idempotency::SideId side;
+        core::WallTime claimedAt;
+        bool isGranted = false;
+    };
+
+    ClaimService<ObservedStore> &m_claims;
+    const decisions::idempotency::KeyHash m_key;
+    const std::optional<core::WallTime> m_keyCreatedAt;
+    std::optional<Claim> m_claim;
+    std::optional<decisions::idempotency::Holder> m_holder;
+};
+
+} // namespace lycheelanding::daemon::entry
