An exchange that is cancelled resets its connection to the backend server

Cause: the entry closed the connection in time, but an ordinary close comes behind the bytes of the request, which wait at the frozen VM. A reset takes them back. Ruled out: a close that came late (the entries log callerGone at the second at which the callers left). Test: HostileCaller.whoLeavesTakesBackWhatTheBackendHasNotTaken fails without the change; answered connections still end without a reset.

--- a/packages/forwarding/tests/entryworld.h
+++ b/packages/forwarding/tests/entryworld.h
@@ -41,6 +41,8 @@
 
     std::vector<std::string> requests;
     int endedConnections = 0;
+    /// How the last of them ended.
+    asio::error_code lastEnd;
 
 private:
     struct Connection
@@ -68,6 +70,7 @@
                                            [this, connection](const auto &error, auto size) {
                                                if (error) {
                                                    ++endedConnections;
+                                                   lastEnd = error;
                                                    return;
                                                }
                                                requests.emplace_back(connection->buffer.data(), size);
--- a/packages/forwarding/tests/hostilepeerstest.cpp
+++ b/packages/forwarding/tests/hostilepeerstest.cpp
@@ -191,6 +191,32 @@
     EXPECT_TRUE(world.runUntil([&backend] { return backend.endedConnections == 1; }));
 }
 
+// A request that waits unread at a frozen VM must not run there once the VM wakes and nobody waits for it: a reset
+// takes back what the receiver has not taken yet, an ordinary close comes behind it.
+TEST(HostileCaller, whoLeavesTakesBackWhatTheBackendHasNotTaken)
+{
+    EntryWorld world;
+    world.configure(RouteKind::Stream);
+    auto &backend = world.addBackend(always({""}));
+    {
+        auto caller = world.connect();
+        asio::write(caller, asio::buffer(callerRequest("POST", "draft")));
+        ASSERT_TRUE(world.runUntil([&backend] { return backend.requests.size() == 1; }));
+    }
+    ASSERT_TRUE(world.runUntil([&backend] { return backend.endedConnections == 1; }));
+    EXPECT_EQ(backend.lastEnd, asio::error::connection_reset);
+}
+
+TEST(HostileBackend, answeredConnectionsEndWithoutAReset)
+{
+    EntryWorld world;
+    world.configure(RouteKind::NonIdempotent);
+    auto &backend = world.addBackend(always({backendAnswer("ok", "Proof: p\r\nAttempt: 77\r\nConnection: close\r\n")}));
+    EXPECT_TRUE(hasStatus(world.exchange(callerRequest("POST", "fee=1")), 200));
+    ASSERT_TRUE(world.runUntil([&backend] { return backend.endedConnections == 1; }));
+    EXPECT_EQ(backend.lastEnd, asio::error::eof);
+}
+
 TEST(HostileCaller, smuggledRequestsAreRefused)
 {
     EntryWorld world;
--- a/packages/http/src/clientconnection.cpp
+++ b/packages/http/src/clientconnection.cpp
@@ -275,14 +275,17 @@
 void ClientConnection::Private::close()
 {
     m_isOpen = false;
+    asio::error_code ignored;
     if (std::exchange(m_isBusy, false)) {
+        // A reset takes back what the server has not taken yet: a request that nobody waits for must not run later, as
+        // when the server's VM wakes.
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
         // One of the handlers may be what calls, so they are destroyed later.
         asio::post(m_executor, [handlers = std::exchange(m_handlers, {})] {});
     }
     m_onIdleEnd = nullptr;
     m_onConnected = nullptr;
     m_connectTimer.cancel();
-    asio::error_code ignored;
     m_socket.close(ignored);
 }
 
