Orders without an answer are repeated after 30 ms, and a switch is placed 6 steps ahead, not 16, while they are lost

Cause: while half of the orders got no answer (applied_late), each switch was placed 16 steps ahead. Test: GroupSwitch.switchWhoseOrdersGoUnansweredIsInForceWithinASecond fails before.

--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
@@ -104,7 +104,9 @@
 struct RankCommandSettings
 {
     /// A command without an answer is repeated after this; engines answer in milliseconds.
-    core::Duration answerTimeout = std::chrono::milliseconds(80);
+    core::Duration answerTimeout = std::chrono::milliseconds(30);
+    /// One without an answer after this was lost, not slow.
+    core::Duration lostAfter = std::chrono::milliseconds(80);
 };
 
 /// Carries out the orders of one RankGate as commands to an engine that arms maps, one after the other. A command
@@ -127,13 +129,14 @@
     RankCommandActions stateRead(const RankState &state, core::TimePoint now);
     RankCommandActions tick(core::TimePoint now);
 
-    /// Commands that had to be repeated so far.
-    std::uint64_t repeats() const { return m_repeats; }
+    /// Commands so far that the engine has left without an answer.
+    std::uint64_t lostCommands() const { return m_lostCommands; }
     bool isIdle() const { return m_queue.empty() && !m_preparing; }
 
 private:
     void add(const EngineCommand &command, core::TimePoint now, RankCommandActions &actions);
     void sendFirst(core::TimePoint now, RankCommandActions &actions);
+    void repeatFirst(core::TimePoint now, RankCommandActions &actions);
     void finishFirst(core::TimePoint now, RankCommandActions &actions);
     void conflict(const EngineCommand &command, core::TimePoint now, RankCommandActions &actions);
 
@@ -141,8 +144,13 @@
     std::deque<EngineCommand> m_queue;
     bool m_isFencing = false;
     std::uint64_t m_number = 0;
-    std::uint64_t m_repeats = 0;
+    /// Number of the first send of the command at the front.
+    std::uint64_t m_firstNumber = 1;
+    std::uint64_t m_lostCommands = 0;
+    core::TimePoint m_firstSentAt;
     core::TimePoint m_sentAt;
+    /// The command at the front is counted as lost.
+    bool m_isLost = false;
     /// The first command was refused for a reason that the next look at the engine tells.
     bool m_isInDoubt = false;
     std::optional<core::MapVersion> m_preparing;
--- a/packages/decisions/src/mapswitch/rankcommands.cpp
+++ b/packages/decisions/src/mapswitch/rankcommands.cpp
@@ -3,6 +3,7 @@
 #include "lycheelanding/core/nametable.h"
 
 #include <array>
+#include <utility>
 
 namespace lycheelanding::decisions::mapswitch {
 
@@ -100,7 +101,8 @@
 RankCommandActions RankCommands::answered(std::uint64_t number, CommandAnswer answer, core::TimePoint now)
 {
     RankCommandActions actions;
-    if (m_queue.empty() || number != m_number) {
+    // Any send of the command counts: an answer may come when the command has been repeated.
+    if (m_queue.empty() || number < m_firstNumber || number > m_number) {
         return actions;
     }
     switch (answer) {
@@ -183,8 +185,10 @@
 {
     RankCommandActions actions;
     if (!m_queue.empty() && !m_isInDoubt && now - m_sentAt >= m_settings.answerTimeout) {
-        ++m_repeats;
-        sendFirst(now, actions);
+        if (now - m_firstSentAt >= m_settings.lostAfter && !std::exchange(m_isLost, true)) {
+            ++m_lostCommands;
+        }
+        repeatFirst(now, actions);
     }
     return actions;
 }
@@ -202,6 +206,14 @@
     if (m_queue.empty()) {
         return;
     }
+    m_firstNumber = m_number + 1;
+    m_firstSentAt = now;
+    m_isLost = false;
+    repeatFirst(now, actions);
+}
+
+void RankCommands::repeatFirst(core::TimePoint now, RankCommandActions &actions)
+{
     m_isInDoubt = false;
     m_sentAt = now;
     actions.emplace_back(SendCommand{++m_number, m_queue.front()});
--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
@@ -79,7 +79,7 @@
                   GroupSwitchActions &actions);
     AddressedCommand addressed(const decisions::mapswitch::EngineCommand &command) const;
     bool needsNewSession(const Rank &rank) const;
-    void noteRepeats(core::TimePoint now);
+    void noteLostCommands(core::TimePoint now);
 
     const decisions::mapswitch::FencingNumber m_fence;
     core::Generation m_generation;
@@ -88,8 +88,8 @@
     core::StepNumber m_step;
     decisions::mapswitch::SwitchCoordinator m_coordinator;
     std::uint64_t m_lastSession = 0;
-    std::uint64_t m_repeats = 0;
-    std::optional<core::TimePoint> m_lastRepeat;
+    std::uint64_t m_lostCommands = 0;
+    std::optional<core::TimePoint> m_lastLoss;
     std::uint64_t m_madeMaps = 0;
     std::map<core::MapVersion, decisions::experts::ExpertMap> m_contents;
 };
--- a/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
@@ -139,8 +139,8 @@
     std::map<std::string, asio::ip::tcp::endpoint> m_engines;
     /// When the side on each VM was last heard, or its engine last read.
     std::map<std::string, core::TimePoint> m_heardAt;
-    /// Commands sent to a side since its last reply, by the IP number of its VM.
-    std::map<std::string, int> m_unanswered;
+    /// When the first command was sent that a side has not replied to, by the IP number of its VM.
+    std::map<std::string, core::TimePoint> m_unansweredSince;
     forwarding::SuspensionClock m_suspension;
     core::TimePoint m_nextBackendsRead;
     core::TimePoint m_nextSubscribe;
--- a/packages/rankgroups/src/groupswitch.cpp
+++ b/packages/rankgroups/src/groupswitch.cpp
@@ -18,9 +18,9 @@
 
 /// Engines answer an order within a part of a step.
 constexpr std::uint64_t usualStepsAhead = 2;
-/// The same while orders go unanswered: hold, arm and go of the last rank then need about a second, in which the group
-/// would stand still.
-constexpr std::uint64_t carefulStepsAhead = 16;
+/// The same while half of the orders go unanswered: hold, arm and go of the last of some ranks then need about ten
+/// repetitions, half a second, in which the group would stand still. Passes take about a tenth of one.
+constexpr std::uint64_t carefulStepsAhead = 6;
 /// How long after an unanswered order others are expected.
 constexpr std::chrono::seconds carefulTime{5};
 
@@ -108,7 +108,7 @@
     while (m_contents.size() > mostContents) {
         m_contents.erase(m_contents.begin());
     }
-    const bool isCareful = m_lastRepeat && now - *m_lastRepeat < carefulTime;
+    const bool isCareful = m_lastLoss && now - *m_lastLoss < carefulTime;
     m_coordinator.setStepsAhead(isCareful ? carefulStepsAhead : usualStepsAhead);
     carryOut(m_coordinator.switchTo(version, now), now, actions);
     return actions;
@@ -168,18 +168,18 @@
     for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
         carryOut(rank, m_ranks[rank].commands.tick(now), now, actions);
     }
-    noteRepeats(now);
+    noteLostCommands(now);
     return actions;
 }
 
-void GroupSwitch::noteRepeats(core::TimePoint now)
+void GroupSwitch::noteLostCommands(core::TimePoint now)
 {
-    std::uint64_t repeats = 0;
+    std::uint64_t lost = 0;
     for (const auto &rank : m_ranks) {
-        repeats += rank.commands.repeats();
+        lost += rank.commands.lostCommands();
     }
-    if (repeats != std::exchange(m_repeats, repeats)) {
-        m_lastRepeat = now;
+    if (lost != std::exchange(m_lostCommands, lost)) {
+        m_lastLoss = now;
     }
 }
 
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -27,8 +27,8 @@
 constexpr std::chrono::seconds backendsInterval{5};
 /// Silence of a side after which the leader reads its engine itself.
 constexpr std::chrono::milliseconds sideSilence{400};
-/// Commands without a reply after which a side is passed over.
-constexpr int mostUnanswered = 2;
+/// Time without a reply to commands after which a side is passed over.
+constexpr std::chrono::milliseconds replyLimit{160};
 
 std::int64_t numberOf(core::MapVersion version)
 {
@@ -320,11 +320,12 @@
         return;
     }
     // Orders are cheap from an engine's own VM. Without a reply its side may be gone, though the engine is not.
-    const int unanswered = m_unanswered[action.ip]++;
-    if (unanswered > 0) {
+    const auto now = m_clock.now();
+    const auto [unanswered, isFirst] = m_unansweredSince.try_emplace(action.ip, now);
+    if (!isFirst) {
         logCommand("commandRepeated", action.ip, action.command.command, CommandAnswer::None);
     }
-    if (unanswered < mostUnanswered) {
+    if (now - unanswered->second < replyLimit) {
         m_socket.send({asio::ip::make_address(action.ip), m_settings.datagramPort},
                       CommandOrder{action.number, action.command});
         return;
@@ -371,7 +372,7 @@
 void SideServer::onReply(const std::string &ip, const CommandReply &reply)
 {
     if (reply.answer != CommandAnswer::None) {
-        m_unanswered[ip] = 0;
+        m_unansweredSince.erase(ip);
     }
     checkSuspension();
     if (isLeading() && m_leadership.fence() == reply.fence) {
--- a/packages/rankgroups/tests/groupswitchtest.cpp
+++ b/packages/rankgroups/tests/groupswitchtest.cpp
@@ -2,6 +2,8 @@
 
 #include "fakerankgroup.h"
 
+#include "lycheelanding/core/random.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -173,6 +175,50 @@
     EXPECT_GT(world.group().currentStep(), before + 3);
 }
 
+/// Half of the orders get no answer and are carried out seconds later, when the demand for experts has shifted and each
+/// pass takes a tenth of a second: a switch is in force on all ranks within a second.
+TEST(GroupSwitch, switchWhoseOrdersGoUnansweredIsInForceWithinASecond)
+{
+    constexpr auto tick = 25ms;
+    constexpr int ticksPerPass = 4;
+    constexpr int ticksPerSecond = 40;
+    SwitchWorld world(8, true);
+    world.settle(8);
+    world.begin();
+    core::RandomSequence random(11);
+    // The first one makes the leader expect others.
+    const auto playTicks = [&](int ticks) {
+        for (int each = 0; each < ticks; ++each) {
+            while (world.commandCount() > 0) {
+                if (random.nextUnit() < 0.5) {
+                    world.deliver(0, true);
+                } else {
+                    world.drop(0);
+                }
+            }
+            if (each % ticksPerPass == 0) {
+                world.isMapShared = world.group().step() && world.isMapShared;
+            }
+            for (std::size_t rank = 0; rank < world.group().size(); ++rank) {
+                world.read(world.leaderCount() - 1, rank);
+            }
+            world.pass(tick);
+        }
+    };
+    playTicks(3 * ticksPerSecond);
+    ASSERT_TRUE(world.leader().isIdle());
+    for (int round = 0; round < 4; ++round) {
+        const auto before = world.group().state(0).map;
+        world.begin();
+        // The copies take three passes before the orders of the switch itself.
+        playTicks(ticksPerSecond + 3 * ticksPerPass);
+        EXPECT_NE(world.group().state(0).map, before);
+        EXPECT_TRUE(world.leader().isIdle());
+        playTicks(ticksPerSecond);
+    }
+    EXPECT_TRUE(world.isMapShared);
+}
+
 /// Orders that are lost, answered late or not at all, carried out after newer ones; leaders replaced at any point with
 /// the earlier ones still at work; groups that form anew: no step begins on two maps, and no group stays held.
 RC_GTEST_PROP(GroupSwitchFuzz, noStepBeginsOnTwoMapsAndNoGroupStaysHeld, ())
