Places at an engine follow the measured time of its group's passes

Three quarters of the places was a guess for any skew. Now: PassPace takes the time of passes from the pauses between events, as a factor on what the engine's own figures say, and gives the requests that a rank may run within 92 % of the target. Tests: PassPaceTest.

--- /dev/null
+++ b/packages/forwarding/include/lycheelanding/forwarding/answertimes.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "lycheelanding/core/clock.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace lycheelanding::forwarding {
+
+/// When the parts of one answer came.
+class AnswerTimes
+{
+public:
+    /// Gives the pause since the part before; nothing for the first one.
+    std::optional<core::Duration> arrived(core::TimePoint now)
+    {
+        const auto before = m_last;
+        m_last = now;
+        if (!before) {
+            m_first = now;
+            return std::nullopt;
+        }
+        m_longestPause = std::max<core::Duration>(m_longestPause, now - *before);
+        return now - *before;
+    }
+
+    std::optional<core::TimePoint> first() const { return m_first; }
+    core::Duration longestPause() const { return m_longestPause; }
+
+private:
+    std::optional<core::TimePoint> m_first;
+    std::optional<core::TimePoint> m_last;
+    core::Duration m_longestPause = core::Duration::zero();
+};
+
+} // namespace lycheelanding::forwarding
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -4,13 +4,14 @@
 #include "lycheelanding/core/result.h"
 #include "lycheelanding/decisions/membership/backenddirectory.h"
 #include "lycheelanding/decisions/routing/backendselector.h"
+#include "lycheelanding/forwarding/forwardingconfiguration.h"
+#include "lycheelanding/forwarding/passpace.h"
 
 #include <asio/ip/tcp.hpp>
 
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace lycheelanding::forwarding {
@@ -27,7 +28,9 @@
     /// Prompt and answer tokens; 1 for a plain service.
     std::uint64_t expectedTokens = 1;
     bool isIdempotent = false;
-    /// Also to engines that run so much that their steps become long.
+    /// Longest pause between events with which a stream is served well; 0 sets none.
+    core::Duration longestPause = core::Duration::zero();
+    /// Also to engines that run so much that their passes take longer than that.
     bool acceptsCrowded = false;
     /// Backend servers that the request was sent to before.
     std::vector<BackendId> tried;
@@ -44,6 +47,7 @@
 /// Load of a backend server that belongs to a rank group.
 struct RankLoad
 {
+    core::GroupId group;
     /// Whether its group steps.
     bool isOpen = true;
     std::uint32_t waiting = 0;
@@ -59,9 +63,9 @@
 
     /// Entries with an address that is not an IP number and a port count as unusable.
     void apply(const decisions::membership::DirectoryChanges &changes, core::TimePoint now);
-    /// Services whose backend servers belong to rank groups: a new one gets work when its group is known to step, or
-    /// after a short time without news of it.
-    void setGroupedServices(std::set<core::ServiceId> services) { m_groupedServices = std::move(services); }
+    /// Models of the services whose backend servers belong to rank groups: a new one gets work when its group is known
+    /// to step, or after a short time without news of it.
+    void setModels(std::map<core::ServiceId, ModelShape> models) { m_models = std::move(models); }
     /// Whether news of a backend server of such a service are still awaited.
     bool isAwaitingNews(const RegisteredBackend &backend, core::TimePoint now) const;
     /// News of a backend server that belongs to a rank group.
@@ -72,6 +76,8 @@
     /// belong to groups that do not step.
     core::Result<ChosenBackend> chooseAndSend(const BackendRequest &request, AttemptId attempt, core::TimePoint now);
     void firstEvent(AttemptId attempt, std::uint64_t promptTokens, core::TimePoint now);
+    /// A further event of a stream.
+    void nextEvent(AttemptId attempt, core::Duration pause, core::TimePoint now);
     void ended(AttemptId attempt, Outcome outcome, core::TimePoint now);
 
     std::optional<RegisteredBackend> find(const BackendId &id) const;
@@ -89,13 +95,18 @@
     };
 
     void updateCandidates();
-    bool mayTake(const RegisteredBackend &backend, bool acceptsCrowded, core::TimePoint now) const;
+    bool mayTake(const RegisteredBackend &backend, const BackendRequest &request, core::TimePoint now) const;
+    /// Requests that the backend server may run.
+    double placesAt(const RegisteredBackend &backend, const RankLoad &load, const BackendRequest &request,
+                    core::TimePoint now) const;
+    double meanRunning(const core::GroupId &group, core::TimePoint now) const;
 
     const core::DataCentreId m_ownDataCentre;
     std::map<BackendId, RegisteredBackend> m_backends;
     std::map<BackendId, asio::ip::tcp::endpoint> m_endpoints;
     std::map<BackendId, Condition> m_conditions;
-    std::set<core::ServiceId> m_groupedServices;
+    std::map<core::ServiceId, ModelShape> m_models;
+    std::map<core::GroupId, PassPace> m_paces;
     std::map<AttemptId, BackendId> m_attempts;
     decisions::routing::BackendSelector m_selector;
 };
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -3,6 +3,7 @@
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/decisions/attempts/requestattempts.h"
 #include "lycheelanding/forwarding/answercheck.h"
+#include "lycheelanding/forwarding/answertimes.h"
 #include "lycheelanding/forwarding/backendset.h"
 #include "lycheelanding/forwarding/eventlog.h"
 #include "lycheelanding/forwarding/requesttext.h"
@@ -93,6 +94,7 @@
     void onBody(AttemptNumber attempt, std::string_view bytes);
     void onEnd(AttemptNumber attempt, bool isReusable);
     void onFailed(AttemptNumber attempt, const core::Error &error);
+    void noteEvent();
     void passOnBody(std::string_view bytes);
     void beginAnswer();
     void finishAnswer();
@@ -134,6 +136,7 @@
     std::vector<BackendId> m_tried;
     /// A failure that the last backend server answered; it goes to the caller when no other is asked.
     std::optional<http::HttpResponse> m_failure;
+    AnswerTimes m_times;
     bool m_isAnswering = false;
     bool m_isOver = false;
 };
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardingconfiguration.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardingconfiguration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lycheelanding/core/clock.h"
 #include "lycheelanding/core/ids.h"
 
 #include <chrono>
@@ -54,6 +55,17 @@
     bool isIdempotent() const { return kind == RouteKind::Idempotent || (kind == RouteKind::Stream && isResumable); }
 };
 
+/// What the steps of an engine take. Streams get an event with each pass.
+struct StepTimes
+{
+    core::Duration step = core::Duration::zero();
+    /// More for each request that runs.
+    core::Duration perRequest = core::Duration::zero();
+    double stepsPerPass = 1.0;
+
+    bool isKnown() const { return perRequest > core::Duration::zero() && stepsPerPass > 0.0; }
+};
+
 /// Shape of a model's rank groups, for services that have some.
 struct ModelShape
 {
@@ -65,6 +77,7 @@
     std::size_t spareSlots = 0;
     std::uint64_t expertBytes = 0;
     double linkBitsPerSecond = 0.0;
+    StepTimes steps;
 };
 
 struct Service
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -18,9 +18,15 @@
 constexpr std::chrono::milliseconds firstNewsLimit{1500};
 /// Requests that may wait at an engine beyond those that run: enough to fill a place that becomes free at once.
 constexpr double mostWaitingAtEngine = 3.0;
-/// Part of an engine's places up to which its steps stay short enough for streams without pauses, also while the load
-/// of its experts is uneven.
+/// Part of an engine's places up to which its passes stay short enough for streams without pauses while nothing is
+/// known of them, also while the load of its experts is uneven.
 constexpr double uncrowdedPart = 0.75;
+/// Part of an engine's places that is used however long its passes take: without requests nothing shows how long.
+constexpr double leastPart = 0.5;
+/// Part of the longest pause, in percent, that a pass may take: the rest is for requests that other entries send at the
+/// same time, for prompts and for the way of the event.
+constexpr int passPercent = 92;
+constexpr int wholePercent = 100;
 /// Pause after a backend server has refused a request: about the time in which it ends one.
 constexpr std::chrono::milliseconds refusalPause{150};
 /// Tokens that a running request is likely to have left: half of a usual answer.
@@ -114,11 +120,38 @@
 bool BackendSet::isAwaitingNews(const RegisteredBackend &backend, core::TimePoint now) const
 {
     const auto found = m_conditions.find(backend.id);
-    return m_groupedServices.contains(backend.service) && found != m_conditions.end() && !found->second.load
+    return m_models.contains(backend.service) && found != m_conditions.end() && !found->second.load
         && now - found->second.knownSince < firstNewsLimit;
 }
 
-bool BackendSet::mayTake(const RegisteredBackend &backend, bool acceptsCrowded, core::TimePoint now) const
+double BackendSet::meanRunning(const core::GroupId &group, core::TimePoint now) const
+{
+    double sum = 0.0;
+    int ranks = 0;
+    for (const auto &[id, condition] : m_conditions) {
+        if (condition.load && condition.load->group == group) {
+            sum += m_selector.estimatedRequests(selectorName(id), now);
+            ++ranks;
+        }
+    }
+    return ranks > 0 ? sum / ranks : 0.0;
+}
+
+double BackendSet::placesAt(const RegisteredBackend &backend, const RankLoad &load, const BackendRequest &request,
+                            core::TimePoint now) const
+{
+    const auto slots = static_cast<double>(backend.slots);
+    if (request.acceptsCrowded) {
+        return slots + mostWaitingAtEngine;
+    }
+    const auto pace = m_paces.find(load.group);
+    const auto most = pace != m_paces.end() && request.longestPause > core::Duration::zero()
+        ? pace->second.mostRunning(request.longestPause * passPercent / wholePercent, now)
+        : std::nullopt;
+    return most ? std::clamp(*most, slots * leastPart, slots) : slots * uncrowdedPart;
+}
+
+bool BackendSet::mayTake(const RegisteredBackend &backend, const BackendRequest &request, core::TimePoint now) const
 {
     const auto found = m_conditions.find(backend.id);
     if (found == m_conditions.end()) {
@@ -132,10 +165,11 @@
     if (!hasNews) {
         return true;
     }
-    const auto slots = static_cast<double>(backend.slots);
-    const double places = acceptsCrowded ? slots + mostWaitingAtEngine : slots * uncrowdedPart;
-    const bool hasPlace = backend.slots == 0 || m_selector.estimatedRequests(selectorName(backend.id), now) < places;
-    return condition.load->isOpen && hasPlace;
+    if (!condition.load->isOpen || backend.slots == 0) {
+        return condition.load->isOpen;
+    }
+    return m_selector.estimatedRequests(selectorName(backend.id), now)
+        < placesAt(backend, *condition.load, request, now);
 }
 
 core::Result<ChosenBackend> BackendSet::chooseAndSend(const BackendRequest &request, AttemptId attempt,
@@ -150,7 +184,7 @@
         route.excluded.push_back(selectorName(id));
     }
     for (const auto &[id, backend] : m_backends) {
-        if (backend.service == request.service && !mayTake(backend, request.acceptsCrowded, now)) {
+        if (backend.service == request.service && !mayTake(backend, request, now)) {
             route.excluded.push_back(selectorName(id));
         }
     }
@@ -171,6 +205,22 @@
     m_selector.firstToken(attempt, promptTokens, now);
 }
 
+void BackendSet::nextEvent(AttemptId attempt, core::Duration pause, core::TimePoint now)
+{
+    const auto found = m_attempts.find(attempt);
+    const auto condition = found != m_attempts.end() ? m_conditions.find(found->second) : m_conditions.end();
+    if (condition == m_conditions.end() || !condition->second.load || condition->second.load->group.isEmpty()) {
+        return;
+    }
+    const auto backend = m_backends.find(found->second);
+    const auto model = backend != m_backends.end() ? m_models.find(backend->second.service) : m_models.end();
+    if (model == m_models.end() || !model->second.steps.isKnown()) {
+        return;
+    }
+    const auto &group = condition->second.load->group;
+    m_paces.try_emplace(group, model->second.steps).first->second.eventSeen(pause, meanRunning(group, now), now);
+}
+
 void BackendSet::ended(AttemptId attempt, Outcome outcome, core::TimePoint now)
 {
     m_selector.requestEnded(attempt, outcome, now);
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -3,7 +3,7 @@
 #include "lycheelanding/core/stablehash.h"
 #include "lycheelanding/forwarding/refusal.h"
 
-#include <set>
+#include <map>
 #include <utility>
 
 namespace lycheelanding::forwarding {
@@ -63,13 +63,13 @@
     }
     m_callers.setTimeouts(configuration.limits.headerTimeout, configuration.limits.idleTimeout);
     m_routes = std::make_shared<const RouteTable>(std::move(configuration));
-    std::set<core::ServiceId> grouped;
+    std::map<core::ServiceId, ModelShape> models;
     for (const auto &service : m_routes->configuration().services) {
         if (service.model && service.model->layers > 0) {
-            grouped.insert(service.id);
+            models.emplace(service.id, *service.model);
         }
     }
-    m_backends.setGroupedServices(std::move(grouped));
+    m_backends.setModels(std::move(models));
     if (m_hasBackends) {
         forwardEarlyRequests();
     }
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -31,6 +31,11 @@
     return {core::ErrorKind::BackendServerLost, error.detail};
 }
 
+std::int64_t millisecondsOf(core::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 } // namespace
 
 ForwardedExchange::ForwardedExchange(const ForwardingParts &parts, RouteTablePointer routes,
@@ -104,6 +109,7 @@
     request.service = m_service;
     request.expectedTokens = std::max<std::uint64_t>(m_tokens.prompt + m_tokens.likelyAnswer, 1);
     request.isIdempotent = m_route->isIdempotent();
+    request.longestPause = m_route->targetGap;
     request.acceptsCrowded = now() >= m_limits.crowdedFrom;
     request.tried = m_tried;
     return request;
@@ -216,9 +222,8 @@
     if (!isCurrent(attempt)) {
         return;
     }
-    if (m_attempt->answerClass == AnswerClass::Own && !m_attempt->hasEvent) {
-        m_attempt->hasEvent = true;
-        m_parts.backends.firstEvent(m_attempt->id, m_tokens.prompt, now());
+    if (m_attempt->answerClass == AnswerClass::Own) {
+        noteEvent();
     }
     const bool isStream = m_route->kind == RouteKind::Stream && m_attempt->head.status < firstRedirect;
     const bool isPassedOn = m_attempt->answerClass == AnswerClass::Own
@@ -232,6 +237,18 @@
     }
 }
 
+void ForwardedExchange::noteEvent()
+{
+    const auto time = now();
+    const auto pause = m_times.arrived(time);
+    if (!m_attempt->hasEvent) {
+        m_attempt->hasEvent = true;
+        m_parts.backends.firstEvent(m_attempt->id, m_tokens.prompt, time);
+    } else if (pause && m_route->kind == RouteKind::Stream) {
+        m_parts.backends.nextEvent(m_attempt->id, *pause, time);
+    }
+}
+
 void ForwardedExchange::passOnBody(std::string_view bytes)
 {
     if (!m_isAnswering) {
@@ -444,7 +461,7 @@
 
 std::int64_t ForwardedExchange::elapsedMs() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now() - m_arrival).count();
+    return millisecondsOf(now() - m_arrival);
 }
 
 void ForwardedExchange::over(std::string_view outcome, int status)
@@ -462,7 +479,9 @@
                        {"service", m_service.text()},
                        {"backend", m_tried.empty() ? std::string() : m_tried.back().text()},
                        {"attempts", static_cast<std::int64_t>(m_tried.size())},
-                       {"ms", elapsedMs()}});
+                       {"ms", elapsedMs()},
+                       {"firstMs", m_times.first() ? millisecondsOf(*m_times.first() - m_arrival) : -1},
+                       {"longestPauseMs", millisecondsOf(m_times.longestPause())}});
     if (const auto onOver = std::exchange(m_onOver, nullptr)) {
         onOver();
     }
--- /dev/null
+++ b/packages/forwarding/tests/passpacetest.cpp
@@ -0,0 +1,94 @@
+#include "lycheelanding/forwarding/passpace.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::TimePoint start(1h);
+constexpr StepTimes steps{4840us, 362us, 6.0};
+constexpr core::Duration limit = 110ms;
+
+core::Duration passTime(double factor, double running)
+{
+    const std::chrono::duration<double> time = factor * steps.stepsPerPass * (steps.step + running * steps.perRequest);
+    return std::chrono::duration_cast<core::Duration>(time);
+}
+
+/// Plays passes of a group that gets all the requests that may run, up to `slots` a rank.
+struct FullGroup
+{
+    void play(double factor, int passes)
+    {
+        for (int pass = 0; pass < passes; ++pass) {
+            lastPass = passTime(factor, running);
+            now += lastPass;
+            pace.eventSeen(lastPass, running, now);
+            running = std::clamp(pace.mostRunning(limit, now).value_or(0.75 * slots), 1.0, slots);
+        }
+    }
+
+    double slots = 12.0;
+    double running = 9.0;
+    core::TimePoint now = start;
+    core::Duration lastPass{};
+    PassPace pace{steps};
+};
+
+} // namespace
+
+TEST(PassPaceTest, saysNothingWithoutRecentEvents)
+{
+    PassPace pace(steps);
+    EXPECT_FALSE(pace.mostRunning(limit, start));
+    pace.eventSeen(60ms, 5.0, start);
+    EXPECT_TRUE(pace.mostRunning(limit, start + 500ms));
+    EXPECT_FALSE(pace.mostRunning(limit, start + 2s));
+}
+
+// A backlog after a freeze or a power loss fills all that may run. With all places taken each pass would be a little
+// too long, and each stream late.
+TEST(PassPaceTest, backlogIsTakenOnlyAsFarAsPassesStayShort)
+{
+    constexpr double unevenExperts = 2.1;
+    ASSERT_GT(passTime(unevenExperts, 12.0), 115ms);
+    FullGroup group;
+    group.play(unevenExperts, 40);
+    EXPECT_LE(group.lastPass, limit + 1ms);
+    EXPECT_GE(group.lastPass, limit - 5ms);
+}
+
+TEST(PassPaceTest, evenExpertsLetAllPlacesBeUsed)
+{
+    FullGroup group;
+    group.play(1.3, 40);
+    EXPECT_DOUBLE_EQ(group.running, group.slots);
+}
+
+TEST(PassPaceTest, shiftOfDemandIsFollowedWithinSomePasses)
+{
+    FullGroup group;
+    group.play(1.3, 40);
+    group.play(2.3, 8);
+    EXPECT_LE(group.lastPass, limit + 5ms);
+}
+
+TEST(PassPaceTest, pauseOfOneStreamIsNotTakenForAPass)
+{
+    PassPace pace(steps);
+    auto now = start;
+    for (int pass = 0; pass < 20; ++pass) {
+        now += 70ms;
+        // One stream waited for its prompt to be read again; the other shows the pass.
+        pace.eventSeen(400ms, 8.0, now - 30ms);
+        pace.eventSeen(70ms, 8.0, now);
+    }
+    EXPECT_GT(pace.mostRunning(limit, now).value_or(0.0), 12.0);
+}
+
+} // namespace lycheelanding::forwarding
--- a/packages/rankgroups/src/entrynews.cpp
+++ b/packages/rankgroups/src/entrynews.cpp
@@ -66,7 +66,7 @@
         }
         const auto &report = news.report;
         const bool isOpen = report.group.isEmpty() || report.isOpen;
-        m_entry.reportRank(id, {isOpen, report.waiting, report.running, m_clock.now()});
+        m_entry.reportRank(id, {report.group, isOpen, report.waiting, report.running, m_clock.now()});
         m_entry.setLiveEntries(news.entries);
         return;
     }
