Requests that waited in vain come back when the backlog may be over, spread

Cause: callers repeat once. Now: 0.8 to 1.5 times as long as they waited, by the attempt's name, up to 32 % of the time left (callers honour a third). Tests: RefusalTest.

--- a/packages/forwarding/include/lycheelanding/forwarding/refusal.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/refusal.h
@@ -10,6 +10,9 @@
 /// succeed it says when to come back.
 http::HttpResponse refusal(const core::Error &error);
 
+/// When a request is told to come back that has waited in vain; different for requests given up at the same time.
+std::chrono::milliseconds retryAfterWaiting(std::chrono::milliseconds waited, std::string_view attemptName);
+
 /// The error with a time to come back that a caller honours who still waits for `timeLeft`.
 core::Error withRetryAfter(const core::Error &error, core::Duration timeLeft);
 
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -135,9 +135,11 @@
 
 void ForwardedExchange::stopWaiting()
 {
-    const std::string waited = std::to_string(elapsedMs());
-    carryOut(m_attempts->giveUp(
-        {core::ErrorKind::Overloaded, "no backend server could take the request within " + waited + " ms"}));
+    const std::chrono::milliseconds waited(elapsedMs());
+    carryOut(
+        m_attempts->giveUp({core::ErrorKind::Overloaded,
+                            "no backend server could take the request within " + std::to_string(waited.count()) + " ms",
+                            retryAfterWaiting(waited, m_attemptName)}));
 }
 
 void ForwardedExchange::begin(const ChosenBackend &chosen)
--- a/packages/forwarding/src/refusal.cpp
+++ b/packages/forwarding/src/refusal.cpp
@@ -1,5 +1,7 @@
 #include "lycheelanding/forwarding/refusal.h"
 
+#include "lycheelanding/core/stablehash.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -13,8 +15,13 @@
 /// When to come back where nothing better is known.
 constexpr std::chrono::milliseconds usualRetryAfter{200};
 constexpr std::chrono::milliseconds shortestRetryAfter{20};
-/// Callers honour a time to come back up to a third of what they have left.
-constexpr int retryAfterPart = 4;
+/// Callers honour a time to come back up to a third of what they have left when the answer arrives.
+constexpr int retryAfterPercent = 32;
+/// A backlog that did not end while a request waited is likely to need about as long again. The range spreads the
+/// return.
+constexpr int leastOfWaitPercent = 80;
+constexpr int mostOfWaitPercent = 150;
+constexpr int wholePercent = 100;
 
 std::string secondsText(std::chrono::milliseconds time)
 {
@@ -40,11 +47,19 @@
     return response;
 }
 
+std::chrono::milliseconds retryAfterWaiting(std::chrono::milliseconds waited, std::string_view attemptName)
+{
+    constexpr std::uint64_t range = mostOfWaitPercent - leastOfWaitPercent + 1;
+    const auto percent = leastOfWaitPercent + static_cast<int>(core::stableHash(attemptName) % range);
+    return waited * percent / wholePercent;
+}
+
 core::Error withRetryAfter(const core::Error &error, core::Duration timeLeft)
 {
     core::Error result = error;
     if (core::answerOf(error.kind).retryCanSucceed) {
-        const auto most = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft) / retryAfterPart;
+        const auto most
+            = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft) * retryAfterPercent / wholePercent;
         result.retryAfter = std::clamp(result.retryAfter.value_or(usualRetryAfter), std::chrono::milliseconds(1),
                                        std::max(most, shortestRetryAfter));
     }
--- /dev/null
+++ b/packages/forwarding/tests/refusaltest.cpp
@@ -0,0 +1,50 @@
+#include "lycheelanding/forwarding/refusal.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+} // namespace
+
+// After an outage hundreds of requests are given up within a second, and callers come back once.
+TEST(RefusalTest, backlogAfterAnOutageComesBackSpreadOverTheTimeThatItNeeds)
+{
+    std::vector<std::chrono::milliseconds> times;
+    for (int request = 0; request < 300; ++request) {
+        times.push_back(retryAfterWaiting(1500ms, "request-" + std::to_string(request)));
+    }
+    const auto [first, last] = std::minmax_element(times.begin(), times.end());
+    EXPECT_GE(*first, 1200ms);
+    EXPECT_LE(*last, 2250ms);
+    // No tenth of the range gets more than a fifth of the requests.
+    for (auto begin = 1200ms; begin < 2250ms; begin += 105ms) {
+        const auto count = std::count_if(times.begin(), times.end(),
+                                         [begin](auto time) { return time >= begin && time < begin + 105ms; });
+        EXPECT_LE(count, 60);
+    }
+}
+
+TEST(RefusalTest, timeToComeBackIsOneThatCallersHonour)
+{
+    core::Error error{core::ErrorKind::Overloaded, "full"};
+    error.retryAfter = 2s;
+    EXPECT_EQ(withRetryAfter(error, 8s).retryAfter, 2s);
+    EXPECT_LT(*withRetryAfter(error, 3s).retryAfter, 1s);
+    EXPECT_GT(*withRetryAfter(error, 3s).retryAfter, 900ms);
+}
+
+TEST(RefusalTest, refusalsThatARetryCannotHelpGiveNoTime)
+{
+    const core::Error error{core::ErrorKind::UnknownRoute, "no route"};
+    EXPECT_FALSE(withRetryAfter(error, 8s).retryAfter);
+    EXPECT_FALSE(refusal(error).headers.find("Retry-After"));
+}
+
+} // namespace lycheelanding::forwarding
