--- a/packages/decisions/include/lycheelanding/decisions/attempts/requestattempts.h
+++ b/packages/decisions/include/lycheelanding/decisions/attempts/requestattempts.h
@@ -17,6 +17,8 @@
 {
     bool isIdempotent = true;
     core::TimePoint deadline;
+    /// Another attempt can go on with an answer that has begun to reach the caller.
+    bool isResumable = false;
 };
 
 /// A further attempt would be safe. Answered by attemptStarted() or giveUp(); whether it is worth while, and within the
--- a/packages/decisions/src/attempts/requestattempts.cpp
+++ b/packages/decisions/src/attempts/requestattempts.cpp
@@ -40,8 +40,8 @@
 
 AttemptActions RequestAttempts::refused(AttemptNumber attempt, const core::Error &error, core::TimePoint now)
 {
-    // A side that has begun to answer has admitted the request.
-    if (m_isAnswering) {
+    // A side that has begun to answer has admitted the request; one that was to go on with an answer may still refuse.
+    if (m_isAnswering && !m_traits.isResumable) {
         return lost(attempt, error, now);
     }
     AttemptActions actions;
@@ -124,7 +124,8 @@
 
 bool RequestAttempts::isResendSafe() const
 {
-    return !m_isAnswering && (m_traits.isIdempotent || !mayHaveRun());
+    const bool canBegin = !m_isAnswering || m_traits.isResumable;
+    return canBegin && (m_traits.isIdempotent || !mayHaveRun());
 }
 
 void RequestAttempts::endAttempt(AttemptNumber attempt, const core::Error &error, core::TimePoint now,
--- a/packages/decisions/tests/attempts/requestattemptstest.cpp
+++ b/packages/decisions/tests/attempts/requestattemptstest.cpp
@@ -253,4 +253,25 @@
     EXPECT_EQ(answer.error.kind, core::ErrorKind::BackendServerLost);
 }
 
+// A stream may be gone on with by another attempt, from the last event that its caller has.
+TEST(RequestAttemptsTest, resumableAnswerThatBreaksOffMayBeGoneOnWith)
+{
+    constexpr core::TimePoint now{milliseconds(10)};
+    RequestAttempts attempts({true, deadline, true});
+    const auto first = attempts.attemptStarted();
+    attempts.readyToSend(first);
+    attempts.answering(first);
+    const auto actions = attempts.lost(first, loss, now);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<RetryPossible>(actions.front()));
+    const auto second = attempts.attemptStarted();
+    attempts.readyToSend(second);
+    const auto refused = attempts.refused(second, refusal, now);
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<RetryPossible>(refused.front()));
+    const auto last = attempts.giveUp(refusal);
+    ASSERT_EQ(last.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<BreakAnswer>(last.front()));
+}
+
 } // namespace lycheelanding::decisions::attempts
--- a/packages/forwarding/include/lycheelanding/forwarding/answertimes.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/answertimes.h
@@ -25,6 +25,7 @@
     }
 
     std::optional<core::TimePoint> first() const { return m_first; }
+    std::optional<core::TimePoint> last() const { return m_last; }
     core::Duration longestPause() const { return m_longestPause; }
 
 private:
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -68,6 +68,9 @@
     void setModels(std::map<core::ServiceId, ModelShape> models) { m_models = std::move(models); }
     /// Whether news of a backend server of such a service are still awaited.
     bool isAwaitingNews(const RegisteredBackend &backend, core::TimePoint now) const;
+    /// Whether the side beside a backend server has told of it, but not for some time: its VM may be gone or stand
+    /// still.
+    bool isSilent(const BackendId &id, core::TimePoint now) const;
     /// News of a backend server that belongs to a rank group.
     void reportRank(const BackendId &id, const RankLoad &load, core::TimePoint now);
     void setLiveEntries(std::size_t entries) { m_selector.setLiveEntries(entries); }
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -41,6 +41,8 @@
     void setLiveEntries(std::size_t entries) { m_backends.setLiveEntries(entries); }
     /// Sends waiting requests for which there is a place now; to be called often.
     void advanceWaiting() { m_waiting.advance(m_clock.now()); }
+    /// Goes on elsewhere with streams whose backend server is silent; to be called some times a second.
+    void endSilentAttempts();
     /// The registry has been read as a whole at least once.
     void backendsListed();
     /// Ends the entry without cutting off a request; calls `onStopped` when it may exit.
@@ -71,6 +73,7 @@
     http::ConnectionPool m_pool;
     WaitingRequests<ForwardedExchange> m_waiting;
     AttemptId m_lastAttempt;
+    std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> m_streams;
     RouteTablePointer m_routes;
     bool m_hasBackends = false;
     /// Arrived before configuration and backend servers were known.
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -5,7 +5,9 @@
 #include "lycheelanding/forwarding/answercheck.h"
 #include "lycheelanding/forwarding/answertimes.h"
 #include "lycheelanding/forwarding/backendset.h"
+#include "lycheelanding/forwarding/calleranswer.h"
 #include "lycheelanding/forwarding/eventlog.h"
+#include "lycheelanding/forwarding/requestlog.h"
 #include "lycheelanding/forwarding/requesttext.h"
 #include "lycheelanding/forwarding/retrybudgets.h"
 #include "lycheelanding/forwarding/routetable.h"
@@ -19,6 +21,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -40,6 +43,8 @@
     WaitingRequests<ForwardedExchange> &waiting;
     /// Numbers the attempts of the process.
     AttemptId &lastAttempt;
+    /// Requests whose stream another backend server can go on with.
+    std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> &streams;
 };
 
 /// One try at one backend server.
@@ -52,7 +57,6 @@
     core::TimePoint startedAt;
     AnswerClass answerClass = AnswerClass::Own;
     http::AnswerHead head;
-    std::string body;
     bool hasHead = false;
     bool hasEvent = false;
 };
@@ -70,6 +74,8 @@
     bool tryAgain();
     /// Gives up a request that has waited for as long as it may.
     void stopWaiting();
+    /// Goes on elsewhere when the backend server has been silent for too long.
+    void endSilentAttempt();
     bool isOver() const { return m_isOver; }
     core::TimePoint waitsUntil() const { return m_limits.waitsUntil; }
     const core::ServiceId &service() const { return m_service; }
@@ -95,8 +101,6 @@
     void onEnd(AttemptNumber attempt, bool isReusable);
     void onFailed(AttemptNumber attempt, const core::Error &error);
     void noteEvent();
-    void passOnBody(std::string_view bytes);
-    void beginAnswer();
     void finishAnswer();
 
     void onTimeout();
@@ -113,14 +117,15 @@
     void answerError(const core::Error &error);
     void over(std::string_view outcome, int status);
     core::TimePoint now() const { return m_clock.now(); }
-    std::int64_t elapsedMs() const;
 
     ForwardingParts m_parts;
     const RouteTablePointer m_routes;
     const http::HttpExchangePointer m_exchange;
     std::function<void()> m_onOver;
+    CallerAnswer m_answer;
     core::SystemClock m_clock;
     const core::TimePoint m_arrival;
+    RequestLog m_log;
     asio::steady_timer m_timer;
     asio::steady_timer m_retryTimer;
     const Route *m_route = nullptr;
@@ -137,7 +142,6 @@
     /// A failure that the last backend server answered; it goes to the caller when no other is asked.
     std::optional<http::HttpResponse> m_failure;
     AnswerTimes m_times;
-    bool m_isAnswering = false;
     bool m_isOver = false;
 };
 
--- /dev/null
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "lycheelanding/core/clock.h"
+#include "lycheelanding/core/ids.h"
+#include "lycheelanding/core/result.h"
+#include "lycheelanding/forwarding/answertimes.h"
+#include "lycheelanding/forwarding/eventlog.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace lycheelanding::forwarding {
+
+/// How a request ended.
+struct RequestOutcome
+{
+    std::string_view outcome;
+    int status = 0;
+    core::ServiceId service;
+    /// The last backend server that it was sent to; empty when there was none.
+    std::string backend;
+    std::size_t attempts = 0;
+};
+
+/// The lines of one request in the event log.
+class RequestLog
+{
+public:
+    RequestLog(EventLog &log, core::TimePoint arrival) : m_log(log), m_arrival(arrival) { }
+
+    void setName(std::string name) { m_name = std::move(name); }
+
+    void writeRetry(const core::Error &error, std::size_t attempts);
+    void writeBroken(const core::Error &error);
+    void writeRefused(const core::Error &error, std::size_t attempts, core::ConfigurationVersion version);
+    void writeOver(const RequestOutcome &outcome, const AnswerTimes &times, core::TimePoint now);
+
+private:
+    EventLog &m_log;
+    const core::TimePoint m_arrival;
+    /// The caller's name of the attempt.
+    std::string m_name;
+};
+
+} // namespace lycheelanding::forwarding
--- a/packages/forwarding/include/lycheelanding/forwarding/requesttext.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requesttext.h
@@ -5,6 +5,7 @@
 #include "lycheelanding/http/httpmessages.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -16,6 +17,8 @@
     core::OrganisationId organisation;
     std::string expectedBackend;
     std::chrono::milliseconds timeLeft{0};
+    /// The caller has the events of a stream up to this one.
+    std::optional<std::uint64_t> lastEvent = std::nullopt;
 };
 
 /// The caller's request as a backend server gets it: method, target and body unchanged; without the caller's key, the
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -14,6 +14,8 @@
 
 /// News of a rank that are older say nothing of its group any more; they come five times a second.
 constexpr std::chrono::milliseconds newsLimit{1000};
+/// Time without news after which the VM of a backend server is taken to be silent: five of them were missed.
+constexpr std::chrono::milliseconds silentAfter{500};
 /// How long a new backend server of a rank group gets no work while there is no news of it: its side may be gone.
 constexpr std::chrono::milliseconds firstNewsLimit{1500};
 /// Requests that may wait at an engine beyond those that run: enough to fill a place that becomes free at once.
@@ -117,6 +119,12 @@
     m_selector.reportLoad(selectorName(id), {{rank}, std::min(load.measuredAt, now)});
 }
 
+bool BackendSet::isSilent(const BackendId &id, core::TimePoint now) const
+{
+    const auto found = m_conditions.find(id);
+    return found == m_conditions.end() || (found->second.load && now - found->second.load->measuredAt >= silentAfter);
+}
+
 bool BackendSet::isAwaitingNews(const RegisteredBackend &backend, core::TimePoint now) const
 {
     const auto found = m_conditions.find(backend.id);
--- /dev/null
+++ b/packages/forwarding/src/calleranswer.cpp
@@ -0,0 +1,96 @@
+#include "lycheelanding/forwarding/calleranswer.h"
+
+#include <cstddef>
+#include <utility>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+/// An answer up to this size is held back until it is whole.
+constexpr std::size_t mostHeldBytes = 64UL * 1024;
+/// Bytes that wait for a slow caller before the answer is broken off.
+constexpr std::size_t mostUnsentBytes = 256UL * 1024;
+constexpr int firstRedirect = 300;
+
+} // namespace
+
+void CallerAnswer::setStream(bool isResumable)
+{
+    m_isStream = true;
+    if (isResumable) {
+        m_events.emplace();
+    }
+}
+
+void CallerAnswer::restart()
+{
+    m_held.clear();
+    if (m_events) {
+        m_events->restart();
+    }
+}
+
+bool CallerAnswer::isInEvents(const http::AnswerHead &head) const
+{
+    return m_events && head.status < firstRedirect && !head.bodyBytes;
+}
+
+void CallerAnswer::take(const http::AnswerHead &head, std::string_view bytes)
+{
+    if (isInEvents(head)) {
+        pass(head, m_events->take(bytes));
+        return;
+    }
+    const bool isPassedOn
+        = m_hasBegun || (m_isStream && head.status < firstRedirect) || m_held.size() + bytes.size() > mostHeldBytes;
+    if (isPassedOn) {
+        pass(head, bytes);
+    } else {
+        m_held.append(bytes);
+    }
+}
+
+void CallerAnswer::hold(std::string_view bytes)
+{
+    if (m_held.size() < mostHeldBytes) {
+        m_held.append(bytes);
+    }
+}
+
+void CallerAnswer::pass(const http::AnswerHead &head, std::string_view bytes)
+{
+    if (bytes.empty()) {
+        return;
+    }
+    if (!std::exchange(m_hasBegun, true)) {
+        if (head.bodyBytes) {
+            m_exchange->startSized(head.status, head.headers, *head.bodyBytes);
+        } else {
+            m_exchange->startStream(head.status, head.headers);
+        }
+        if (!m_held.empty()) {
+            m_exchange->sendChunk(std::exchange(m_held, {}));
+        }
+    }
+    m_exchange->sendChunk(std::string(bytes));
+}
+
+void CallerAnswer::finish(const http::AnswerHead &head)
+{
+    if (isInEvents(head)) {
+        pass(head, m_events->takeRest());
+    }
+    if (m_hasBegun) {
+        m_exchange->finish();
+    } else {
+        m_exchange->respond({head.status, head.headers, std::exchange(m_held, {})});
+    }
+}
+
+bool CallerAnswer::isStuck() const
+{
+    return m_exchange->unsentBytes() > mostUnsentBytes;
+}
+
+} // namespace lycheelanding::forwarding
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -164,8 +164,8 @@
 
 void EntryServer::forward(const http::HttpExchangePointer &exchange)
 {
-    const ForwardingParts parts{m_context, m_settings.names, m_backends, m_retries,    m_pool,
-                                m_log,     m_metrics,        m_waiting,  m_lastAttempt};
+    const ForwardingParts parts{m_context, m_settings.names, m_backends, m_retries,     m_pool,
+                                m_log,     m_metrics,        m_waiting,  m_lastAttempt, m_streams};
     const auto onOver = [this] {
         carryOut(m_drain.requestFinished(m_clock.now()));
         advanceWaiting();
@@ -173,6 +173,20 @@
     std::make_shared<ForwardedExchange>(parts, m_routes, exchange, onOver)->start();
 }
 
+void EntryServer::endSilentAttempts()
+{
+    // Going on may end requests, which leave the set.
+    std::vector<std::shared_ptr<ForwardedExchange>> streams;
+    for (const auto &[key, weak] : m_streams) {
+        if (auto stream = weak.lock()) {
+            streams.push_back(std::move(stream));
+        }
+    }
+    for (const auto &stream : streams) {
+        stream->endSilentAttempt();
+    }
+}
+
 void EntryServer::stop(std::function<void()> onStopped)
 {
     m_onStopped = std::move(onStopped);
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -20,28 +20,19 @@
 constexpr std::chrono::milliseconds longestConnect{1000};
 /// Part of the time left that a connection may take to open, so that another backend server can still be asked.
 constexpr int connectPart = 3;
-/// An answer up to this size is gathered before it is passed on: until then another backend server can be asked.
-constexpr std::size_t mostGatheredBytes = 64UL * 1024;
-/// Bytes that wait for a slow caller before the answer is broken off.
-constexpr std::size_t mostUnsentBytes = 256UL * 1024;
-constexpr int firstRedirect = 300;
 
 core::Error lostError(const core::Error &error)
 {
     return {core::ErrorKind::BackendServerLost, error.detail};
 }
 
-std::int64_t millisecondsOf(core::Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 } // namespace
 
 ForwardedExchange::ForwardedExchange(const ForwardingParts &parts, RouteTablePointer routes,
                                      http::HttpExchangePointer exchange, std::function<void()> onOver)
     : m_parts(parts), m_routes(std::move(routes)), m_exchange(std::move(exchange)), m_onOver(std::move(onOver)),
-      m_arrival(m_clock.now()), m_timer(parts.context), m_retryTimer(parts.context)
+      m_answer(m_exchange), m_arrival(m_clock.now()), m_log(parts.log, m_arrival), m_timer(parts.context),
+      m_retryTimer(parts.context)
 { }
 
 core::Result<const Route *> ForwardedExchange::findRoute()
@@ -68,6 +59,7 @@
     const auto &request = m_exchange->request();
     m_parts.metrics.increment(report::Counter::RequestsReceived);
     m_attemptName = request.headers.find(m_parts.names.attempt).value_or(std::string());
+    m_log.setName(m_attemptName);
     const auto route = findRoute();
     if (!core::isOk(route)) {
         answerError(core::errorOf(route));
@@ -83,7 +75,14 @@
     }
     m_limits = waitLimitsOf(*m_route, m_arrival, m_deadline);
     m_priority = m_routes->priorityFor(*m_route, m_organisation);
-    m_attempts.emplace(RequestTraits{m_route->isIdempotent(), m_deadline});
+    const bool isResumable = m_route->kind == RouteKind::Stream && m_route->isResumable;
+    m_attempts.emplace(RequestTraits{m_route->isIdempotent(), m_deadline, isResumable});
+    if (m_route->kind == RouteKind::Stream) {
+        m_answer.setStream(isResumable);
+    }
+    if (isResumable) {
+        m_parts.streams.emplace(this, weak_from_this());
+    }
     m_exchange->onCallerGone([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->onCallerGone();
@@ -135,7 +134,7 @@
 
 void ForwardedExchange::stopWaiting()
 {
-    const std::chrono::milliseconds waited(elapsedMs());
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now() - m_limits.since);
     carryOut(
         m_attempts->giveUp({core::ErrorKind::Overloaded,
                             "no backend server could take the request within " + std::to_string(waited.count()) + " ms",
@@ -149,6 +148,7 @@
     m_attempt->id = m_parts.lastAttempt;
     m_attempt->backend = chosen;
     m_attempt->startedAt = now();
+    m_answer.restart();
     m_tried.push_back(m_attempt->backend.id);
     m_attempt->connection = m_parts.pool.take(m_attempt->backend.endpoint);
     if (m_attempt->connection) {
@@ -191,6 +191,7 @@
     passedOn.organisation = m_organisation;
     passedOn.expectedBackend = m_attempt->backend.id.text();
     passedOn.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
+    passedOn.lastEvent = m_answer.lastEvent();
     const auto &request = m_exchange->request();
     m_attempt->connection->send(passedOnRequest(request, passedOn, m_parts.names), request.method == "HEAD",
                                 answerHandlers(m_attempt->number));
@@ -217,6 +218,9 @@
     m_attempt->hasHead = true;
     m_attempt->answerClass = classifyAnswer(head, m_parts.names);
     m_attempt->head = std::move(head);
+    if (m_attempt->answerClass == AnswerClass::Own && !m_answer.canFollow(m_attempt->head)) {
+        m_attempt->answerClass = AnswerClass::Broken;
+    }
 }
 
 void ForwardedExchange::onBody(AttemptNumber attempt, std::string_view bytes)
@@ -224,18 +228,17 @@
     if (!isCurrent(attempt)) {
         return;
     }
-    if (m_attempt->answerClass == AnswerClass::Own) {
-        noteEvent();
-    }
-    const bool isStream = m_route->kind == RouteKind::Stream && m_attempt->head.status < firstRedirect;
-    const bool isPassedOn = m_attempt->answerClass == AnswerClass::Own
-        && (isStream || m_attempt->body.size() + bytes.size() > mostGatheredBytes || m_isAnswering);
-    if (isPassedOn) {
-        passOnBody(bytes);
+    if (m_attempt->answerClass != AnswerClass::Own) {
+        m_answer.hold(bytes);
         return;
     }
-    if (m_attempt->body.size() < mostGatheredBytes) {
-        m_attempt->body.append(bytes);
+    noteEvent();
+    m_answer.take(m_attempt->head, bytes);
+    if (m_answer.hasBegun()) {
+        carryOut(m_attempts->answering(attempt));
+    }
+    if (m_answer.isStuck()) {
+        onFailed(attempt, {core::ErrorKind::Cancelled, "the caller does not read its answer"});
     }
 }
 
@@ -251,35 +254,6 @@
     }
 }
 
-void ForwardedExchange::passOnBody(std::string_view bytes)
-{
-    if (!m_isAnswering) {
-        beginAnswer();
-    }
-    if (!m_attempt) {
-        return;
-    }
-    m_exchange->sendChunk(std::string(bytes));
-    if (m_exchange->unsentBytes() > mostUnsentBytes) {
-        onFailed(m_attempt->number, {core::ErrorKind::Cancelled, "the caller does not read its answer"});
-    }
-}
-
-void ForwardedExchange::beginAnswer()
-{
-    m_isAnswering = true;
-    carryOut(m_attempts->answering(m_attempt->number));
-    const auto &head = m_attempt->head;
-    if (head.bodyBytes) {
-        m_exchange->startSized(head.status, head.headers, *head.bodyBytes);
-    } else {
-        m_exchange->startStream(head.status, head.headers);
-    }
-    if (!m_attempt->body.empty()) {
-        m_exchange->sendChunk(std::exchange(m_attempt->body, {}));
-    }
-}
-
 void ForwardedExchange::onEnd(AttemptNumber attempt, bool isReusable)
 {
     if (!isCurrent(attempt)) {
@@ -295,7 +269,7 @@
         finishAnswer();
         return;
     case AnswerClass::Failure:
-        m_failure = http::HttpResponse{m_attempt->head.status, m_attempt->head.headers, m_attempt->body};
+        m_failure = m_answer.held(m_attempt->head);
         endAttempt(Outcome::Answered);
         carryOut(
             m_attempts->lost(attempt, {core::ErrorKind::BackendServerFailed, place + " failed the request"}, now()));
@@ -322,11 +296,7 @@
 void ForwardedExchange::finishAnswer()
 {
     const int status = m_attempt->head.status;
-    if (m_isAnswering) {
-        m_exchange->finish();
-    } else {
-        m_exchange->respond({status, m_attempt->head.headers, std::move(m_attempt->body)});
-    }
+    m_answer.finish(m_attempt->head);
     const auto attempt = m_attempt->number;
     endAttempt(Outcome::Answered);
     m_parts.metrics.increment(report::Counter::RequestsAnswered);
@@ -344,13 +314,35 @@
     carryOut(m_attempts->lost(attempt, lostError(error), now()));
 }
 
+void ForwardedExchange::endSilentAttempt()
+{
+    if (!m_attempt || !m_attempt->connection || !m_attempt->connection->isOpen()) {
+        return;
+    }
+    const auto silence = now() - std::max(m_times.last().value_or(m_arrival), m_attempt->startedAt);
+    const bool isVmSilent = m_parts.backends.isSilent(m_attempt->backend.id, now());
+    // Without an event yet it may still wait for its place at the engine.
+    const bool isLost = isVmSilent ? silence >= m_limits.silentVm : m_answer.hasBegun() && silence >= m_limits.silence;
+    if (!isLost) {
+        return;
+    }
+    const auto attempt = m_attempt->number;
+    endAttempt(Outcome::Failed);
+    carryOut(m_attempts->lost(
+        attempt,
+        {core::ErrorKind::BackendServerLost,
+         "no event for " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(silence).count())
+             + " ms" + (isVmSilent ? ", and no news of its VM" : "")},
+        now()));
+}
+
 void ForwardedExchange::onTimeout()
 {
     if (m_isOver) {
         return;
     }
     carryOut(m_attempts->tick(std::max(now(), m_deadline)));
-    if (!m_isOver && m_isAnswering) {
+    if (!m_isOver && m_answer.hasBegun()) {
         carryOut(BreakAnswer{{core::ErrorKind::DeadlineExceeded, "the time of the request has passed"}});
     }
 }
@@ -380,10 +372,14 @@
     failed.ran = action.ran;
     failed.idempotent = m_route->isIdempotent();
     failed.deadline = m_deadline;
-    if (m_tried.size() >= m_route->maxAttempts) {
+    const bool canGoOn = !m_answer.hasBegun() || m_answer.lastEvent();
+    if (m_tried.size() >= m_route->maxAttempts || !canGoOn) {
         carryOut(m_attempts->giveUp(action.error));
         return;
     }
+    if (m_answer.hasBegun()) {
+        m_limits = waitLimitsOf(*m_route, now(), m_deadline);
+    }
     const auto decision = m_parts.retries.attemptFailed(m_service, failed, now());
     if (const auto *giveUp = std::get_if<decisions::retry::GiveUp>(&decision)) {
         m_parts.metrics.increment(report::Counter::RetriesDeniedByBudget);
@@ -391,11 +387,7 @@
         return;
     }
     m_parts.metrics.increment(report::Counter::RetriesSent);
-    m_parts.log.write(LogImportance::Request, "retry",
-                      {{"request", m_attemptName},
-                       {"reason", core::nameOf(action.error.kind)},
-                       {"detail", action.error.detail},
-                       {"attempts", static_cast<std::int64_t>(m_tried.size())}});
+    m_log.writeRetry(action.error, m_tried.size());
     m_retryTimer.expires_after(std::get<decisions::retry::RetryAfter>(decision).delay);
     m_retryTimer.async_wait([self = shared_from_this()](const auto &error) {
         if (!error && !self->m_isOver) {
@@ -428,9 +420,7 @@
     endAttempt(Outcome::Cancelled);
     m_exchange->abort();
     m_parts.metrics.increment(report::Counter::AnswersBroken);
-    m_parts.log.write(
-        LogImportance::Request, "answerBroken",
-        {{"request", m_attemptName}, {"reason", core::nameOf(action.error.kind)}, {"detail", action.error.detail}});
+    m_log.writeBroken(action.error);
     over("broken", 0);
 }
 
@@ -451,21 +441,11 @@
 void ForwardedExchange::answerError(const core::Error &error)
 {
     m_parts.metrics.countRefusal(error.kind);
-    m_parts.log.write(LogImportance::Request, "refused",
-                      {{"request", m_attemptName},
-                       {"reason", core::nameOf(error.kind)},
-                       {"detail", error.detail},
-                       {"attempts", static_cast<std::int64_t>(m_tried.size())},
-                       {"configuration", m_routes ? static_cast<std::int64_t>(m_routes->version().number()) : 0}});
+    m_log.writeRefused(error, m_tried.size(), m_routes ? m_routes->version() : core::ConfigurationVersion());
     m_exchange->respond(refusal(m_route != nullptr ? withRetryAfter(error, m_deadline - now()) : error));
     over("refused", core::answerOf(error.kind).httpStatus);
 }
 
-std::int64_t ForwardedExchange::elapsedMs() const
-{
-    return millisecondsOf(now() - m_arrival);
-}
-
 void ForwardedExchange::over(std::string_view outcome, int status)
 {
     if (std::exchange(m_isOver, true)) {
@@ -474,16 +454,10 @@
     m_timer.cancel();
     m_retryTimer.cancel();
     endAttempt(Outcome::Cancelled);
-    m_parts.log.write(LogImportance::Request, "requestOver",
-                      {{"request", m_attemptName},
-                       {"outcome", outcome},
-                       {"status", status},
-                       {"service", m_service.text()},
-                       {"backend", m_tried.empty() ? std::string() : m_tried.back().text()},
-                       {"attempts", static_cast<std::int64_t>(m_tried.size())},
-                       {"ms", elapsedMs()},
-                       {"firstMs", m_times.first() ? millisecondsOf(*m_times.first() - m_arrival) : -1},
-                       {"longestPauseMs", millisecondsOf(m_times.longestPause())}});
+    m_parts.streams.erase(this);
+    m_log.writeOver(
+        {outcome, status, m_service, m_tried.empty() ? std::string() : m_tried.back().text(), m_tried.size()}, m_times,
+        now());
     if (const auto onOver = std::exchange(m_onOver, nullptr)) {
         onOver();
     }
--- a/packages/forwarding/src/requesttext.cpp
+++ b/packages/forwarding/src/requesttext.cpp
@@ -14,6 +14,9 @@
 constexpr std::array<std::string_view, 6> connectionFields{"Proxy-Connection", "Proxy-Authorization", "TE", "Upgrade",
                                                            "Expect",           "Accept-Encoding"};
 
+/// Where an event stream is to be gone on with (WHATWG HTML, server-sent events).
+constexpr std::string_view lastEventField = "Last-Event-ID";
+
 std::optional<std::uint64_t> numberIn(std::string_view text)
 {
     std::uint64_t number = 0;
@@ -34,12 +37,16 @@
 {
     http::HttpRequest result{request.method, request.target, {}, request.body};
     for (const auto &field : request.headers.fields()) {
-        if (!isDropped(field.name, names)) {
+        const bool isReplaced = passedOn.lastEvent && http::isSameHeaderName(field.name, lastEventField);
+        if (!isDropped(field.name, names) && !isReplaced) {
             result.headers.add(field.name, field.value);
         }
     }
     result.headers.add(names.timeLeft, std::to_string(std::max<std::int64_t>(passedOn.timeLeft.count(), 1)));
     result.headers.add(names.expectedBackend, passedOn.expectedBackend);
+    if (passedOn.lastEvent) {
+        result.headers.add(std::string(lastEventField), std::to_string(*passedOn.lastEvent));
+    }
     if (!passedOn.organisation.isEmpty()) {
         result.headers.add(names.organisation, passedOn.organisation.text());
     }
--- a/packages/forwarding/src/waitlimits.cpp
+++ b/packages/forwarding/src/waitlimits.cpp
@@ -16,6 +16,10 @@
 constexpr int patienceGaps = 8;
 /// Part of that patience, in percent, that a stream may wait for a backend server; the rest is for its first event.
 constexpr int streamWaitPercent = 75;
+/// Parts of the patience, in percent, after which a silent stream is taken to be lost: what is left has to do for
+/// another backend server to read the prompt. A group that switches maps may stand still for 800 ms.
+constexpr int silencePercent = 60;
+constexpr int silentVmPercent = 30;
 /// Part of the target latency, in percent, after which a waiting request is taken to be late: the engine needs the rest
 /// to read the prompt.
 constexpr int inTimePercent = 60;
@@ -23,23 +27,31 @@
 /// all that the engines can do.
 constexpr std::chrono::milliseconds uncrowdedWait{1000};
 
+core::Duration streamPatience(const Route &route)
+{
+    return std::max({shortestPatience, route.targetLatency * patienceTargets, route.targetGap * patienceGaps});
+}
+
 core::Duration longestWait(const Route &route, core::Duration time)
 {
     const core::Duration part = time * longestWaitPercent / wholePercent;
     if (route.kind != RouteKind::Stream) {
         return part;
     }
-    const auto patience
-        = std::max({shortestPatience, route.targetLatency * patienceTargets, route.targetGap * patienceGaps});
-    return std::min<core::Duration>(part, patience * streamWaitPercent / wholePercent);
+    return std::min<core::Duration>(part, streamPatience(route) * streamWaitPercent / wholePercent);
 }
 
 } // namespace
 
 WaitLimits waitLimitsOf(const Route &route, core::TimePoint arrival, core::TimePoint deadline)
 {
-    return {arrival + longestWait(route, deadline - arrival),
-            arrival + route.targetLatency * inTimePercent / wholePercent, arrival + uncrowdedWait};
+    const auto patience = streamPatience(route);
+    return {arrival,
+            arrival + longestWait(route, deadline - arrival),
+            arrival + route.targetLatency * inTimePercent / wholePercent,
+            arrival + uncrowdedWait,
+            patience * silencePercent / wholePercent,
+            patience * silentVmPercent / wholePercent};
 }
 
 } // namespace lycheelanding::forwarding
--- /dev/null
+++ b/packages/forwarding/tests/brokenstreamstest.cpp
@@ -0,0 +1,148 @@
+#include "entryworld.h"
+
+#include <gtest/gtest.h>
+
+#include <charconv>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+const std::string firstHead = "HTTP/1.1 200 OK\r\nProof: first\r\nAttempt: 77\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string secondHead = "HTTP/1.1 200 OK\r\nProof: second\r\nAttempt: 77\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string lastChunk = "0\r\n\r\n";
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: part" + std::to_string(id) + "\n\n";
+}
+
+std::string chunk(const std::string &text)
+{
+    std::array<char, 8> size{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), text.size(), 16).ptr;
+    return std::string(size.data(), end) + "\r\n" + text + "\r\n";
+}
+
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+/// The first request to any backend server of the world gets `first`, each later one `later`.
+FakeBackend::Script firstThen(int &asked, const Reaction &first, const Reaction &later)
+{
+    return [&asked, first, later](const std::string &) { return ++asked == 1 ? first : later; };
+}
+
+/// A world in which the stream breaks off, or falls silent, at whichever backend server is asked first.
+struct StreamWorld
+{
+    StreamWorld(const Reaction &first, const Reaction &later, bool isResumable = true)
+    {
+        world.configure(RouteKind::Stream, std::chrono::seconds(10), 2, isResumable);
+        backends
+            = {&world.addBackend(firstThen(asked, first, later)), &world.addBackend(firstThen(asked, first, later))};
+        answer = world.exchange(callerRequest("POST", "prompt"));
+    }
+
+    std::string requestThatWentOn() const
+    {
+        for (const auto *backend : backends) {
+            for (const auto &request : backend->requests) {
+                if (request.find("Last-Event-ID") != std::string::npos) {
+                    return request;
+                }
+            }
+        }
+        return {};
+    }
+
+    void expectWholeStream(int events) const
+    {
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 "));
+        EXPECT_TRUE(answer.ends_with(lastChunk)) << answer;
+        for (int id = 1; id <= events; ++id) {
+            EXPECT_EQ(countOf(answer, "data: part" + std::to_string(id) + "\n"), 1U) << answer;
+        }
+        EXPECT_NE(answer.find("Proof: first"), std::string::npos);
+        EXPECT_EQ(answer.find("Proof: second"), std::string::npos);
+    }
+
+    EntryWorld world;
+    int asked = 0;
+    std::vector<FakeBackend *> backends;
+    std::string answer;
+};
+
+} // namespace
+
+TEST(BrokenStreams, streamThatBreaksOffGoesOnAtAnotherBackend)
+{
+    const StreamWorld stream({firstHead + chunk(event(1) + event(2) + "id: 3\nda"), true},
+                             {secondHead + chunk(event(3)) + chunk(event(4)) + lastChunk});
+    stream.expectWholeStream(4);
+    EXPECT_NE(stream.requestThatWentOn().find("Last-Event-ID: 2\r\n"), std::string::npos);
+}
+
+TEST(BrokenStreams, resetStreamGoesOnAtAnotherBackend)
+{
+    const StreamWorld stream({firstHead + chunk(event(1)), false, true},
+                             {secondHead + chunk(event(2) + event(3)) + lastChunk});
+    stream.expectWholeStream(3);
+}
+
+// A VM that stands still sends nothing, and its connections stay.
+TEST(BrokenStreams, silentStreamGoesOnAtAnotherBackend)
+{
+    const StreamWorld stream({firstHead + chunk(event(1))}, {secondHead + chunk(event(2)) + lastChunk});
+    stream.expectWholeStream(2);
+}
+
+TEST(BrokenStreams, backendThatBeginsAgainAddsNothingTwice)
+{
+    const StreamWorld stream({firstHead + chunk(event(1) + event(2)), true},
+                             {secondHead + chunk(event(1) + event(2) + event(3)) + lastChunk});
+    stream.expectWholeStream(3);
+}
+
+TEST(BrokenStreams, streamThatBreaksOffEverywhereDoesNotLookComplete)
+{
+    const StreamWorld stream({firstHead + chunk(event(1) + "id: 2\nda"), true},
+                             {secondHead + chunk(event(2) + "id: 3\nda"), true});
+    EXPECT_EQ(stream.asked, 2);
+    EXPECT_EQ(countOf(stream.answer, "data: part2\n"), 1U);
+    EXPECT_EQ(stream.answer.find("id: 3"), std::string::npos);
+    EXPECT_FALSE(stream.answer.ends_with(lastChunk));
+}
+
+TEST(BrokenStreams, failureOfTheNextBackendIsNoPartOfTheStream)
+{
+    const StreamWorld stream(
+        {firstHead + chunk(event(1)), true},
+        {"HTTP/1.1 500 Internal Server Error\r\nProof: second\r\nAttempt: 77\r\nContent-Length: 4\r\n\r\noops"});
+    EXPECT_EQ(stream.answer.find("oops"), std::string::npos);
+    EXPECT_FALSE(stream.answer.ends_with(lastChunk));
+}
+
+TEST(BrokenStreams, streamThatMayNotBeGoneOnWithIsBrokenOff)
+{
+    const StreamWorld stream({firstHead + chunk(event(1) + "id: 2"), true}, {secondHead + lastChunk}, false);
+    EXPECT_EQ(stream.asked, 1);
+    // Its bytes are passed on as they come.
+    EXPECT_NE(stream.answer.find("id: 2"), std::string::npos) << stream.answer;
+    EXPECT_FALSE(stream.answer.ends_with(lastChunk));
+}
+
+TEST(BrokenStreams, eventsWithoutIdsCannotBeGoneOnWith)
+{
+    const StreamWorld stream({firstHead + chunk("data: a\n\n"), true}, {secondHead + chunk("data: b\n\n") + lastChunk});
+    EXPECT_EQ(stream.asked, 1);
+    EXPECT_FALSE(stream.answer.ends_with(lastChunk));
+}
+
+} // namespace lycheelanding::forwarding
