Fewer tries to lead, and connections to backend servers used in turn

Now: the pause after a try that met another's key doubles from 0.4 to 1.6 s until a leader is heard; a leader that does not hear all its ranks reads the backend servers each second; the connection idle longest is used first. Tests: GroupLeadership.triesGetRarer..., ConnectionPool.*.

--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/groupleadership.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/groupleadership.h
@@ -19,8 +19,10 @@
     /// seldom two try at once.
     core::Duration silence = std::chrono::milliseconds(800);
     core::Duration silencePerRank = std::chrono::milliseconds(150);
-    /// Pause after a failed try.
+    /// Pause after a failed try. It doubles, up to the longest, while another holds the key that is not heard: at a
+    /// start its members are not known to it yet.
     core::Duration retryPause = std::chrono::milliseconds(400);
+    core::Duration longestRetryPause = std::chrono::milliseconds(1600);
 };
 
 /// Numbers the calls of one process: only the answer to the latest one counts.
@@ -63,7 +65,7 @@
     explicit GroupLeadership(const LeadershipSettings &settings) : m_settings(settings) { }
 
     /// A leader of the own group was heard.
-    void leaderHeard(core::TimePoint now) { m_lastHeard = now; }
+    void leaderHeard(core::TimePoint now);
     LeadershipActions leaseGranted(LeaseCall call, std::uint64_t lease, core::TimePoint now);
     /// The key was written at a revision of the store, or exists already.
     LeadershipActions keyWritten(LeaseCall call, std::optional<std::uint64_t> revision, core::TimePoint now);
@@ -93,6 +95,7 @@
     State m_state = State::Following;
     std::optional<core::TimePoint> m_lastHeard;
     core::TimePoint m_nextTry;
+    core::Duration m_conflictPause{};
     core::TimePoint m_askedAt;
     core::TimePoint m_validUntil;
     std::optional<core::TimePoint> m_renewalAsked;
--- a/packages/decisions/src/mapswitch/groupleadership.cpp
+++ b/packages/decisions/src/mapswitch/groupleadership.cpp
@@ -1,9 +1,16 @@
 #include "lycheelanding/decisions/mapswitch/groupleadership.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheelanding::decisions::mapswitch {
 
+void GroupLeadership::leaderHeard(core::TimePoint now)
+{
+    m_lastHeard = now;
+    m_conflictPause = core::Duration::zero();
+}
+
 LeadershipActions GroupLeadership::leaseGranted(LeaseCall call, std::uint64_t lease, core::TimePoint now)
 {
     LeadershipActions actions;
@@ -31,6 +38,8 @@
     }
     if (!revision || now >= m_validUntil) {
         noteFailure(true, now, actions);
+        m_conflictPause = std::clamp(m_conflictPause * 2, m_settings.retryPause, m_settings.longestRetryPause);
+        m_nextTry = now + m_conflictPause;
         return actions;
     }
     m_state = State::Leading;
--- a/packages/decisions/tests/mapswitch/groupleadershiptest.cpp
+++ b/packages/decisions/tests/mapswitch/groupleadershiptest.cpp
@@ -53,6 +53,24 @@
     EXPECT_TRUE(has<GrantLease>(third.tick(2, start + settings.silencePerRank * 2)));
 }
 
+// Each try costs the store two writes. At a start the leader does not know its members at once.
+TEST(GroupLeadership, triesGetRarerWhileAnotherHoldsTheKeyAndIsNotHeard)
+{
+    GroupLeadership leadership({});
+    int tries = 0;
+    for (auto now = start; now < start + 8s; now += 50ms) {
+        const auto grant = leadership.tick(0, now);
+        if (!has<GrantLease>(grant)) {
+            continue;
+        }
+        ++tries;
+        const auto write = callOf<WriteLeaderKey>(leadership.leaseGranted(callOf<GrantLease>(grant), 1, now));
+        leadership.keyWritten(write, std::nullopt, now);
+    }
+    EXPECT_LE(tries, 8);
+    EXPECT_GE(tries, 5);
+}
+
 TEST(GroupLeadership, leaderThatIsHeardIsNotReplaced)
 {
     GroupLeadership leadership({});
--- a/packages/http/include/lycheelanding/http/connectionpool.h
+++ b/packages/http/include/lycheelanding/http/connectionpool.h
@@ -3,8 +3,8 @@
 #include "lycheelanding/http/clientconnection.h"
 
 #include <cstddef>
+#include <deque>
 #include <map>
-#include <vector>
 
 namespace lycheelanding::http {
 
@@ -37,7 +37,7 @@
     void drop(const asio::ip::tcp::endpoint &peer, const ClientConnection *connection);
 
     const std::chrono::milliseconds m_longestIdle;
-    std::map<asio::ip::tcp::endpoint, std::vector<Idle>> m_idle;
+    std::map<asio::ip::tcp::endpoint, std::deque<Idle>> m_idle;
 };
 
 } // namespace lycheelanding::http
--- a/packages/http/src/connectionpool.cpp
+++ b/packages/http/src/connectionpool.cpp
@@ -18,14 +18,15 @@
     }
     const auto now = std::chrono::steady_clock::now();
     auto &idle = found->second;
+    // The one that has been idle longest comes first: used in turn, none of them ends for want of use.
     while (!idle.empty()) {
-        const Idle last = std::move(idle.back());
-        idle.pop_back();
-        last.connection->onIdleEnd(nullptr);
-        if (last.connection->isOpen() && now < last.until) {
-            return last.connection;
+        const Idle first = std::move(idle.front());
+        idle.pop_front();
+        first.connection->onIdleEnd(nullptr);
+        if (first.connection->isOpen() && now < first.until) {
+            return first.connection;
         }
-        last.connection->close();
+        first.connection->close();
     }
     m_idle.erase(found);
     return nullptr;
--- /dev/null
+++ b/packages/http/tests/connectionpooltest.cpp
@@ -0,0 +1,82 @@
+#include "lycheelanding/http/connectionpool.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace lycheelanding::http {
+
+namespace {
+
+/// A server that takes connections and says nothing.
+struct QuietServer
+{
+    QuietServer() { accept(); }
+
+    void accept()
+    {
+        acceptor.async_accept([this](const auto &error, asio::ip::tcp::socket socket) {
+            if (!error) {
+                sockets.push_back(std::move(socket));
+                accept();
+            }
+        });
+    }
+
+    ClientConnectionPointer connect()
+    {
+        auto connection = std::make_shared<ClientConnection>(context.get_executor(), acceptor.local_endpoint());
+        bool isOver = false;
+        connection->connect(std::chrono::seconds(5), [&isOver](const core::Status &) { isOver = true; });
+        while (!isOver) {
+            context.run_one();
+        }
+        return connection;
+    }
+
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor{context, {asio::ip::make_address("127.0.0.1"), 0}};
+    std::vector<asio::ip::tcp::socket> sockets;
+};
+
+} // namespace
+
+// Servers end connections that nobody uses, and a new one costs them a place for a moment.
+TEST(ConnectionPool, idleConnectionsAreUsedInTurn)
+{
+    QuietServer server;
+    ConnectionPool pool(std::chrono::seconds(20));
+    const auto first = server.connect();
+    const auto second = server.connect();
+    pool.keep(first);
+    pool.keep(second);
+    const auto endpoint = server.acceptor.local_endpoint();
+    EXPECT_EQ(pool.take(endpoint), first);
+    pool.keep(first);
+    EXPECT_EQ(pool.take(endpoint), second);
+    EXPECT_EQ(pool.take(endpoint), first);
+    EXPECT_EQ(pool.take(endpoint), nullptr);
+}
+
+TEST(ConnectionPool, connectionThatHasEndedIsNotGivenOut)
+{
+    QuietServer server;
+    ConnectionPool pool(std::chrono::seconds(20));
+    const auto connection = server.connect();
+    pool.keep(connection);
+    connection->close();
+    EXPECT_EQ(pool.take(server.acceptor.local_endpoint()), nullptr);
+}
+
+TEST(ConnectionPool, connectionIsNotUsedAfterTheLongestIdleTime)
+{
+    QuietServer server;
+    ConnectionPool pool(std::chrono::milliseconds(0));
+    pool.keep(server.connect());
+    EXPECT_EQ(pool.take(server.acceptor.local_endpoint()), nullptr);
+}
+
+} // namespace lycheelanding::http
--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupleader.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupleader.h
@@ -42,6 +42,8 @@
                            core::TimePoint now);
     LeaderActions tick(core::TimePoint now);
 
+    /// Whether all ranks of the group have been heard of lately and step together.
+    bool isWhole(core::TimePoint now) const;
     /// While true, the ranks' states are wanted at short intervals.
     bool isSwitching() const { return m_switch && !m_switch->isIdle(); }
     const core::GroupId &group() const { return m_group; }
@@ -55,7 +57,6 @@
         core::TimePoint heardAt;
     };
 
-    bool isWhole(core::TimePoint now) const;
     void openSwitch(core::TimePoint now, LeaderActions &actions);
     std::optional<decisions::experts::ExpertMap> currentMap() const;
     void planIfDue(core::TimePoint now, LeaderActions &actions);
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::seconds subscriptionTime{3};
 constexpr std::chrono::milliseconds subscribeInterval{300};
 constexpr std::chrono::seconds backendsInterval{5};
+/// The same while not all ranks of the group are heard of, as at a start.
+constexpr std::chrono::seconds missingBackendsInterval{1};
 /// Silence of a side after which the leader reads its engine itself.
 constexpr std::chrono::milliseconds sideSilence{400};
 /// Time without a reply to commands after which a side is passed over.
@@ -386,7 +388,7 @@
     if (now < m_nextBackendsRead) {
         return;
     }
-    m_nextBackendsRead = now + backendsInterval;
+    m_nextBackendsRead = now + (m_leader->isWhole(now) ? backendsInterval : missingBackendsInterval);
     m_store.readBackends([this](const auto &backends) {
         if (!backends) {
             return;
