--- a/packages/forwarding/tests/refusaltest.cpp
+++ b/packages/forwarding/tests/refusaltest.cpp
@@ -16,8 +16,10 @@
 // After an outage hundreds of requests are given up within a second, and callers come back once.
 TEST(RefusalTest, backlogAfterAnOutageComesBackSpreadOverTheTimeThatItNeeds)
 {
+    constexpr int requests = 300;
     std::vector<std::chrono::milliseconds> times;
-    for (int request = 0; request < 300; ++request) {
+    times.reserve(requests);
+    for (int request = 0; request < requests; ++request) {
         times.push_back(retryAfterWaiting(1500ms, "request-" + std::to_string(request)));
     }
     const auto [first, last] = std::minmax_element(times.begin(), times.end());
