--- a/packages/control/include/lycheelanding/control/commandline.h
+++ b/packages/control/include/lycheelanding/control/commandline.h
@@ -19,6 +19,7 @@
     Burn,
     Status,
     Drain,
+    Explain,
 };
 
 /// What the operator asks for.
@@ -40,6 +41,10 @@
 
     // drain
     std::string vm;
+
+    // explain
+    std::string request;
+    std::vector<std::string> logs;
 };
 
 /// A text to print in place of a command: --help, --version.
--- a/packages/control/src/commandline.cpp
+++ b/packages/control/src/commandline.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::array<core::NameEntry<CommandName>, 7> commandNames{{
+constexpr std::array<core::NameEntry<CommandName>, 8> commandNames{{
     {CommandName::ConfigShow, "config show"},
     {CommandName::ConfigPatch, "config patch"},
     {CommandName::ConfigHistory, "config history"},
@@ -24,6 +24,7 @@
     {CommandName::Burn, "burn"},
     {CommandName::Status, "status"},
     {CommandName::Drain, "drain"},
+    {CommandName::Explain, "explain"},
 }};
 
 constexpr std::string_view usage = R"(Commands:
@@ -34,6 +35,7 @@
   burn            service-level burn over all named entries, with --html also as a page
   status          entries and backend servers
   drain VM        takes a backend server out of service
+  explain ID FILE...  what the processes' logs tell of one request, in the order of time; needs no --entry
 )";
 
 cxxopts::Options declaredOptions()
@@ -128,6 +130,24 @@
     return std::nullopt;
 }
 
+/// `words`: the request's id and the names of the log files.
+std::optional<core::Error> readLogs(std::vector<std::string> &words, Command &command)
+{
+    if (words.size() < 2) {
+        return usageError("explain needs the id of a request and files of logs");
+    }
+    command.request = words[0];
+    for (std::size_t index = 1; index < words.size(); ++index) {
+        auto text = textOfFile(words[index]);
+        if (!core::isOk(text)) {
+            return core::errorOf(text);
+        }
+        command.logs.push_back(core::takeValue(std::move(text)));
+    }
+    words.clear();
+    return std::nullopt;
+}
+
 core::Result<Command> commandOf(const cxxopts::ParseResult &parsed)
 {
     auto words
@@ -141,7 +161,8 @@
     command.asJson = parsed.count("json") > 0;
     command.timeout = std::chrono::milliseconds(parsed["timeout-ms"].as<std::uint32_t>());
     command.pageFile = parsed["html"].as<std::string>();
-    if (auto error = readEntries(parsed, command)) {
+    const bool isOffline = *name == CommandName::Explain;
+    if (auto error = isOffline ? readLogs(words, command) : readEntries(parsed, command)) {
         return *error;
     }
     if (*name == CommandName::ConfigPatch) {
--- a/packages/control/src/controltool.cpp
+++ b/packages/control/src/controltool.cpp
@@ -2,6 +2,7 @@
 
 #include "private/burncommand.h"
 #include "private/configurationcommands.h"
+#include "private/requeststory.h"
 #include "private/statuscommands.h"
 
 #include <algorithm>
@@ -10,6 +11,16 @@
 
 namespace {
 
+CommandResult explain(const Command &command)
+{
+    const auto story = requestStory(command.request, command.logs);
+    if (story.empty()) {
+        return failureResult(ExitCode::Failed, {core::ErrorKind::MalformedRequest, "no line names the request"},
+                             command.asJson);
+    }
+    return {ExitCode::Ok, command.asJson ? storyJson(story).dump(2) + "\n" : storyText(story), ""};
+}
+
 CommandResult carryOut(const Command &command, const PatchSubmitterSettings &settings)
 {
     EntryClient client(command.entries, command.timeout);
@@ -28,6 +39,8 @@
         return showStatus(client, command);
     case CommandName::Drain:
         return drain(client, command);
+    case CommandName::Explain:
+        return explain(command);
     }
     return failureResult(ExitCode::Failed, {core::ErrorKind::Internal, "unknown command"}, command.asJson);
 }
