--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupleader.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupleader.h
@@ -69,7 +69,7 @@
     std::map<core::RankIndex, Member> m_members;
     std::optional<GroupPlanner> m_planner;
     std::unique_ptr<GroupSwitch> m_switch;
-    core::TimePoint m_nextPlan;
+    core::TimePoint m_lastPlan;
 };
 
 } // namespace lycheelanding::rankgroups
--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupplanner.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupplanner.h
@@ -23,6 +23,9 @@
     void switchBegun(const decisions::experts::Move &move, core::TimePoint now);
     void switchEnded() { m_planner.moveEnded(); }
 
+    /// Whether the demand of all layers has been steady for some windows.
+    bool isDemandSettled() const;
+
     const decisions::experts::MapShape &shape() const { return m_shape; }
 
 private:
--- a/packages/rankgroups/src/demandaverage.cpp
+++ b/packages/rankgroups/src/demandaverage.cpp
@@ -44,6 +44,7 @@
         m_sums[expert] = before + static_cast<double>(counts[expert]);
     }
     m_isProvisional = isShift;
+    m_windowsSinceShift = isShift ? 0 : m_windowsSinceShift + 1;
 }
 
 } // namespace lycheelanding::rankgroups
--- a/packages/rankgroups/src/groupleader.cpp
+++ b/packages/rankgroups/src/groupleader.cpp
@@ -13,6 +13,8 @@
 /// Age of a rank's last news beyond which nothing new is begun.
 constexpr std::chrono::milliseconds newsLimit{1500};
 constexpr std::chrono::milliseconds planInterval{100};
+/// The same while the demand is steady: a plan takes 3 ms of the processor.
+constexpr std::chrono::milliseconds settledPlanInterval{400};
 
 } // namespace
 
@@ -104,10 +106,11 @@
 
 void GroupLeader::planIfDue(core::TimePoint now, LeaderActions &actions)
 {
-    if (now < m_nextPlan || !m_switch->isIdle() || !isWhole(now)) {
+    const auto interval = m_planner->isDemandSettled() ? settledPlanInterval : planInterval;
+    if (now - m_lastPlan < interval || !m_switch->isIdle() || !isWhole(now)) {
         return;
     }
-    m_nextPlan = now + planInterval;
+    m_lastPlan = now;
     const auto current = currentMap();
     if (!current) {
         return;
--- a/packages/rankgroups/src/groupplanner.cpp
+++ b/packages/rankgroups/src/groupplanner.cpp
@@ -138,6 +138,11 @@
     return result.loads.empty() || !result.next.isComplete() ? std::nullopt : std::optional(result);
 }
 
+bool GroupPlanner::isDemandSettled() const
+{
+    return std::all_of(m_demand.begin(), m_demand.end(), [](const DemandAverage &layer) { return layer.isSettled(); });
+}
+
 void GroupPlanner::switchBegun(const Move &move, core::TimePoint now)
 {
     m_planner.moveStarted(move.bytes, now);
--- a/packages/rankgroups/tests/demandaveragetest.cpp
+++ b/packages/rankgroups/tests/demandaveragetest.cpp
@@ -90,6 +90,22 @@
     EXPECT_LT(largestError(average, after), 0.25);
 }
 
+TEST(DemandAverageTest, demandIsSettledSomeWindowsAfterAShift)
+{
+    core::RandomSequence random(9);
+    DemandAverage average(experts);
+    for (int each = 0; each < 10; ++each) {
+        average.add(window(popularity(3), random));
+    }
+    EXPECT_TRUE(average.isSettled());
+    average.add(window(popularity(40), random));
+    EXPECT_FALSE(average.isSettled());
+    for (int each = 0; each < 10; ++each) {
+        average.add(window(popularity(40), random));
+    }
+    EXPECT_TRUE(average.isSettled());
+}
+
 TEST(DemandAverageTest, windowWithFewChoicesIsNoShift)
 {
     core::RandomSequence random(7);
