--- a/packages/forwarding/tests/entryworld.h
+++ b/packages/forwarding/tests/entryworld.h
@@ -103,7 +103,8 @@
 class EntryWorld
 {
 public:
-    EntryWorld() : m_log(-1, "entry"), m_entry(m_context, settings(), m_log)
+    /// Log lines go to the descriptor; -1 drops them.
+    explicit EntryWorld(int logDescriptor = -1) : m_log(logDescriptor, "entry"), m_entry(m_context, settings(), m_log)
     {
         isStarted = core::isOk(m_entry.start());
     }
@@ -173,6 +174,7 @@
     }
 
     EntryServer &entry() { return m_entry; }
+    EventLog &log() { return m_log; }
 
     bool isStarted = false;
 
--- /dev/null
+++ b/packages/forwarding/tests/failurestoriestest.cpp
@@ -0,0 +1,144 @@
+#include "entryworld.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <sstream>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+/// Takes the event log of a world, as a platform takes the standard output of a process.
+class LogPipe
+{
+public:
+    LogPipe() { EXPECT_EQ(pipe(m_ends.data()), 0); }
+    ~LogPipe()
+    {
+        close(m_ends[0]);
+        close(m_ends[1]);
+    }
+    LogPipe(const LogPipe &) = delete;
+    LogPipe &operator=(const LogPipe &) = delete;
+
+    int descriptor() const { return m_ends[1]; }
+
+    /// Until a writer would have to wait.
+    void fill() const
+    {
+        const int flags = fcntl(m_ends[1], F_GETFL);
+        fcntl(m_ends[1], F_SETFL, flags | O_NONBLOCK);
+        const std::string bytes(4096, 'x');
+        while (write(m_ends[1], bytes.data(), bytes.size()) > 0) {
+        }
+        fcntl(m_ends[1], F_SETFL, flags);
+    }
+
+    /// What docs/OPERATIONS.md tells to do: the lines that name the request.
+    std::vector<std::string> linesOf(const std::string &request)
+    {
+        std::array<char, 65536> buffer{};
+        const auto size = read(m_ends[0], buffer.data(), buffer.size());
+        std::istringstream text(std::string(buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(size, 0))));
+        std::vector<std::string> lines;
+        for (std::string line; std::getline(text, line);) {
+            if (line.find("\"request\":\"" + request + "\"") != std::string::npos) {
+                lines.push_back(line);
+            }
+        }
+        return lines;
+    }
+
+private:
+    std::array<int, 2> m_ends{};
+};
+
+std::string lineOf(const std::vector<std::string> &lines, const std::string &event)
+{
+    for (const auto &line : lines) {
+        if (line.find("\"event\":\"" + event + "\"") != std::string::npos) {
+            return line;
+        }
+    }
+    return {};
+}
+
+bool says(const std::string &line, const std::string &part)
+{
+    return line.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST(FailureStories, logThatNobodyReadsHoldsUpNoRequest)
+{
+    LogPipe pipe;
+    EntryWorld world(pipe.descriptor());
+    pipe.fill();
+    world.configure(RouteKind::Idempotent);
+    world.addBackend([](const std::string &) { return Reaction{backendAnswer("drawn")}; });
+    constexpr int requests = 300;
+    for (int request = 0; request < requests; ++request) {
+        ASSERT_TRUE(world.exchange(callerRequest("GET")).starts_with("HTTP/1.1 200 "));
+        world.log().flush();
+    }
+}
+
+// The walk-throughs of docs/OPERATIONS.md, "from a request's id to its cause".
+
+TEST(FailureStories, refusedRequestTellsThatNoPlaceBecameFree)
+{
+    LogPipe pipe;
+    EntryWorld world(pipe.descriptor());
+    world.configure(RouteKind::NonIdempotent, std::chrono::milliseconds(200));
+    world.entry().backendsListed();
+    EXPECT_TRUE(world.exchange(callerRequest("POST", "fee=1")).starts_with("HTTP/1.1 503 "));
+    world.log().flush();
+    const auto lines = pipe.linesOf("77");
+    const auto refused = lineOf(lines, "refused");
+    EXPECT_TRUE(says(refused, "\"reason\":\"overloaded\"")) << refused;
+    EXPECT_TRUE(says(refused, "no backend server could take the request within")) << refused;
+    EXPECT_TRUE(says(lineOf(lines, "requestOver"), "\"attempts\":0"));
+}
+
+TEST(FailureStories, unknownOutcomeNamesTheBackendAndThatItWasSentOnce)
+{
+    LogPipe pipe;
+    EntryWorld world(pipe.descriptor());
+    world.configure(RouteKind::NonIdempotent);
+    world.addBackend([](const std::string &) {
+        return Reaction{"HTTP/1.1 200 OK\r\nProof: p\r\nAttempt: 77\r\nContent-Length: 10\r\n\r\nhalf", true};
+    });
+    EXPECT_TRUE(world.exchange(callerRequest("POST", "fee=1")).starts_with("HTTP/1.1 502 "));
+    world.log().flush();
+    const auto lines = pipe.linesOf("77");
+    EXPECT_TRUE(says(lineOf(lines, "refused"), "the connection ended within the answer")) << lineOf(lines, "refused");
+    const auto over = lineOf(lines, "requestOver");
+    EXPECT_TRUE(says(over, "\"status\":502")) << over;
+    EXPECT_TRUE(says(over, "\"backend\":\"backend-1\"")) << over;
+    EXPECT_TRUE(says(over, "\"attempts\":1")) << over;
+}
+
+TEST(FailureStories, brokenStreamTellsWhatHappenedOnTheConnection)
+{
+    LogPipe pipe;
+    EntryWorld world(pipe.descriptor());
+    world.configure(RouteKind::Stream, std::chrono::seconds(10), 2, false);
+    world.addBackend([](const std::string &) {
+        return Reaction{
+            "HTTP/1.1 200 OK\r\nProof: p\r\nAttempt: 77\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n", true};
+    });
+    world.exchange(callerRequest("POST", "prompt"));
+    world.log().flush();
+    const auto lines = pipe.linesOf("77");
+    const auto broken = lineOf(lines, "answerBroken");
+    EXPECT_TRUE(says(broken, "\"reason\":\"backendServerLost\"")) << broken;
+    EXPECT_TRUE(says(broken, "the connection ended within the answer")) << broken;
+    EXPECT_TRUE(says(lineOf(lines, "requestOver"), "\"outcome\":\"broken\""));
+}
+
+} // namespace lycheelanding::forwarding
