--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
@@ -105,8 +105,6 @@
 {
     /// A command without an answer is repeated after this; engines answer in milliseconds.
     core::Duration answerTimeout = std::chrono::milliseconds(30);
-    /// The same for Prepare, which carries a whole map and is followed by copies of some hundred milliseconds.
-    core::Duration prepareTimeout = std::chrono::milliseconds(80);
     /// One without an answer after this was lost, not slow.
     core::Duration lostAfter = std::chrono::milliseconds(80);
 };
@@ -136,7 +134,6 @@
     bool isIdle() const { return m_queue.empty() && !m_preparing; }
 
 private:
-    core::Duration timeoutOf(CommandKind kind) const;
     void add(const EngineCommand &command, core::TimePoint now, RankCommandActions &actions);
     void sendFirst(core::TimePoint now, RankCommandActions &actions);
     void repeatFirst(core::TimePoint now, RankCommandActions &actions);
--- a/packages/decisions/src/mapswitch/rankcommands.cpp
+++ b/packages/decisions/src/mapswitch/rankcommands.cpp
@@ -184,7 +184,7 @@
 RankCommandActions RankCommands::tick(core::TimePoint now)
 {
     RankCommandActions actions;
-    if (!m_queue.empty() && !m_isInDoubt && now - m_sentAt >= timeoutOf(m_queue.front().kind)) {
+    if (!m_queue.empty() && !m_isInDoubt && now - m_sentAt >= m_settings.answerTimeout) {
         if (now - m_firstSentAt >= m_settings.lostAfter && !std::exchange(m_isLost, true)) {
             ++m_lostCommands;
         }
@@ -193,11 +193,6 @@
     return actions;
 }
 
-core::Duration RankCommands::timeoutOf(CommandKind kind) const
-{
-    return kind == CommandKind::Prepare ? m_settings.prepareTimeout : m_settings.answerTimeout;
-}
-
 void RankCommands::add(const EngineCommand &command, core::TimePoint now, RankCommandActions &actions)
 {
     m_queue.push_back(command);
--- a/packages/decisions/tests/mapswitch/rankcommandstest.cpp
+++ b/packages/decisions/tests/mapswitch/rankcommandstest.cpp
@@ -43,15 +43,6 @@
     EXPECT_EQ(commands.lostCommands(), 1U);
 }
 
-TEST(RankCommandsTest, prepareIsGivenMoreTime)
-{
-    const RankCommandSettings settings;
-    RankCommands commands(settings);
-    commands.carryOut(StageMap{hold.stamp, core::MapVersion(5)}, start);
-    EXPECT_TRUE(commands.tick(start + settings.answerTimeout).empty());
-    EXPECT_FALSE(commands.tick(start + settings.prepareTimeout).empty());
-}
-
 TEST(RankCommandsTest, answerToAnEarlierSendOfTheCommandCounts)
 {
     RankCommands commands{RankCommandSettings()};
