--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -12,7 +12,7 @@
 using decisions::membership::BackendUnusable;
 using decisions::membership::BackendUsable;
 
-/// News of a rank that are older say nothing of its group any more; they come five times a second.
+/// News of a rank that are older say nothing of its group any more; they come ten times a second.
 constexpr std::chrono::milliseconds newsLimit{1000};
 /// Time without news after which the VM of a backend server is taken to be silent: five of them were missed.
 constexpr std::chrono::milliseconds silentAfter{500};
