One piece of code in place of twins

The times of an answer's parts stood in TokenTimes and AnswerTimes: AnswerTimes moves to packages/report and serves both. What a side notes of its own engine's answers stood in two callers: commandOwnEngine() does it for both. A field that was written and never read is gone.

--- a/packages/daemon/src/entry/forwardedrequest.cpp
+++ b/packages/daemon/src/entry/forwardedrequest.cpp
@@ -28,11 +28,6 @@
     return urgency == normalUrgency ? decisions::admission::Priority::Normal : decisions::admission::Priority::Low;
 }
 
-core::Error noConnection(const core::VmId &vm)
-{
-    return core::Error{core::ErrorKind::NoBackendServer, "no connection to " + vm.text()};
-}
-
 } // namespace
 
 ForwardedRequest::ForwardedRequest(EntryServices &services, http::HttpExchangePointer exchange,
@@ -130,9 +125,7 @@
 {
     const auto incarnation = m_services.links.incarnationOf(m_choice->vm);
     if (!incarnation) {
-        const auto attempt = m_rules.attemptStarted();
-        endAttempt(Outcome::Refused);
-        carryOut(m_rules.notSent(attempt, noConnection(m_choice->vm), m_clock.now()));
+        endWithoutLink(m_rules.attemptStarted());
         return;
     }
     const decisions::idempotency::SideId side{m_choice->vm, *incarnation};
@@ -196,8 +189,7 @@
     m_tried.push_back(m_choice->vm);
     const auto attempt = m_rules.attemptStarted();
     if (!openAttempt(m_choice->vm, attempt, false)) {
-        endAttempt(Outcome::Refused);
-        carryOut(m_rules.notSent(attempt, noConnection(m_choice->vm), m_clock.now()));
+        endWithoutLink(attempt);
         return;
     }
     if (m_tried.size() == 1) {
@@ -206,6 +198,13 @@
     carryOut(m_rules.readyToSend(attempt));
 }
 
+void ForwardedRequest::endWithoutLink(AttemptNumber attempt)
+{
+    endAttempt(Outcome::Refused);
+    carryOut(m_rules.notSent(attempt, {core::ErrorKind::NoBackendServer, "no connection to " + m_choice->vm.text()},
+                             m_clock.now()));
+}
+
 void ForwardedRequest::carryOut(const SendRequest &)
 {
     const auto version = m_services.configuration.version();
--- a/packages/daemon/src/entry/forwardedrequest.h
+++ b/packages/daemon/src/entry/forwardedrequest.h
@@ -59,6 +59,8 @@
     void claimThenSend();
     void claimDecided(const ClaimVerdict &verdict);
     void send();
+    /// The chosen side cannot be reached; nothing was sent.
+    void endWithoutLink(AttemptNumber attempt);
     void askHolder(const decisions::idempotency::Holder &holder);
     void holderRefused(const wire::RequestRefused &refused);
     bool openAttempt(const core::VmId &vm, AttemptNumber number, bool asksHolder);
--- a/packages/daemon/src/entry/tokentimes.h
+++ b/packages/daemon/src/entry/tokentimes.h
@@ -3,6 +3,7 @@
 #include "entry/requestobserver.h"
 
 #include "lycheelanding/core/clock.h"
+#include "lycheelanding/report/answertimes.h"
 
 #include <cstdint>
 #include <optional>
@@ -19,15 +20,11 @@
     /// The time since the token before; nothing for the first one.
     std::optional<core::Duration> tokenArrived(core::TimePoint now)
     {
-        const auto last = m_lastAt;
-        m_lastAt = now;
-        if (!last) {
-            m_firstAt = now;
-            return std::nullopt;
+        const auto gap = m_times.arrived(now);
+        if (gap) {
+            ++m_gaps;
+            m_slowGaps += m_gapLimit && *gap > *m_gapLimit ? 1 : 0;
         }
-        const core::Duration gap = now - *last;
-        ++m_gaps;
-        m_slowGaps += m_gapLimit && gap > *m_gapLimit ? 1 : 0;
         return gap;
     }
 
@@ -35,15 +32,14 @@
     {
         end.gaps = m_gaps;
         end.slowGaps = m_slowGaps;
-        if (m_firstAt) {
-            end.firstToken = *m_firstAt - startedAt;
+        if (const auto first = m_times.first()) {
+            end.firstToken = *first - startedAt;
         }
     }
 
 private:
     std::optional<core::Duration> m_gapLimit;
-    std::optional<core::TimePoint> m_firstAt;
-    std::optional<core::TimePoint> m_lastAt;
+    report::AnswerTimes m_times;
     std::uint32_t m_gaps = 0;
     std::uint32_t m_slowGaps = 0;
 };
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -3,7 +3,6 @@
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/decisions/attempts/requestattempts.h"
 #include "lycheelanding/forwarding/answercheck.h"
-#include "lycheelanding/forwarding/answertimes.h"
 #include "lycheelanding/forwarding/backendset.h"
 #include "lycheelanding/forwarding/calleranswer.h"
 #include "lycheelanding/forwarding/eventlog.h"
@@ -15,6 +14,7 @@
 #include "lycheelanding/forwarding/waitlimits.h"
 #include "lycheelanding/http/connectionpool.h"
 #include "lycheelanding/http/httpserver.h"
+#include "lycheelanding/report/answertimes.h"
 #include "lycheelanding/report/metrics.h"
 
 #include <asio/io_context.hpp>
@@ -57,7 +57,6 @@
     core::TimePoint startedAt;
     AnswerClass answerClass = AnswerClass::Own;
     http::AnswerHead head;
-    bool hasHead = false;
     bool hasEvent = false;
 };
 
@@ -141,7 +140,7 @@
     std::vector<BackendId> m_tried;
     /// A failure that the last backend server answered; it goes to the caller when no other is asked.
     std::optional<http::HttpResponse> m_failure;
-    AnswerTimes m_times;
+    report::AnswerTimes m_times;
     bool m_isOver = false;
 };
 
--- a/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
@@ -3,8 +3,8 @@
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/core/ids.h"
 #include "lycheelanding/core/result.h"
-#include "lycheelanding/forwarding/answertimes.h"
 #include "lycheelanding/forwarding/eventlog.h"
+#include "lycheelanding/report/answertimes.h"
 
 #include <cstddef>
 #include <string>
@@ -34,7 +34,7 @@
     void writeRetry(const core::Error &error, std::size_t attempts);
     void writeBroken(const core::Error &error);
     void writeRefused(const core::Error &error, std::size_t attempts, core::ConfigurationVersion version);
-    void writeOver(const RequestOutcome &outcome, const AnswerTimes &times, core::TimePoint now);
+    void writeOver(const RequestOutcome &outcome, const report::AnswerTimes &times, core::TimePoint now);
 
 private:
     EventLog &m_log;
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -215,7 +215,6 @@
     if (!isCurrent(attempt)) {
         return;
     }
-    m_attempt->hasHead = true;
     m_attempt->answerClass = classifyAnswer(head, m_parts.names);
     m_attempt->head = std::move(head);
     if (m_attempt->answerClass == AnswerClass::Own && !m_answer.canFollow(m_attempt->head)) {
--- a/packages/forwarding/src/refusal.cpp
+++ b/packages/forwarding/src/refusal.cpp
@@ -1,6 +1,7 @@
 #include "lycheelanding/forwarding/refusal.h"
 
 #include "lycheelanding/core/stablehash.h"
+#include "lycheelanding/forwarding/percent.h"
 
 #include <algorithm>
 #include <array>
@@ -21,7 +22,6 @@
 /// return.
 constexpr int leastOfWaitPercent = 80;
 constexpr int mostOfWaitPercent = 150;
-constexpr int wholePercent = 100;
 
 std::string secondsText(std::chrono::milliseconds time)
 {
@@ -51,15 +51,14 @@
 {
     constexpr std::uint64_t range = mostOfWaitPercent - leastOfWaitPercent + 1;
     const auto percent = leastOfWaitPercent + static_cast<int>(core::stableHash(attemptName) % range);
-    return waited * percent / wholePercent;
+    return percentOf(waited, percent);
 }
 
 core::Error withRetryAfter(const core::Error &error, core::Duration timeLeft)
 {
     core::Error result = error;
     if (core::answerOf(error.kind).retryCanSucceed) {
-        const auto most
-            = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft) * retryAfterPercent / wholePercent;
+        const auto most = percentOf(std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft), retryAfterPercent);
         result.retryAfter = std::clamp(result.retryAfter.value_or(usualRetryAfter), std::chrono::milliseconds(1),
                                        std::max(most, shortestRetryAfter));
     }
--- a/packages/forwarding/src/waitlimits.cpp
+++ b/packages/forwarding/src/waitlimits.cpp
@@ -1,12 +1,13 @@
 #include "lycheelanding/forwarding/waitlimits.h"
 
+#include "lycheelanding/forwarding/percent.h"
+
 #include <algorithm>
 
 namespace lycheelanding::forwarding {
 
 namespace {
 
-constexpr int wholePercent = 100;
 /// Part of its time, in percent, that a request may wait for a backend server: what is left has to do for its work, and
 /// for coming back once.
 constexpr int longestWaitPercent = 50;
@@ -34,11 +35,11 @@
 
 core::Duration longestWait(const Route &route, core::Duration time)
 {
-    const core::Duration part = time * longestWaitPercent / wholePercent;
+    const core::Duration part = percentOf(time, longestWaitPercent);
     if (route.kind != RouteKind::Stream) {
         return part;
     }
-    return std::min<core::Duration>(part, streamPatience(route) * streamWaitPercent / wholePercent);
+    return std::min<core::Duration>(part, percentOf(streamPatience(route), streamWaitPercent));
 }
 
 } // namespace
@@ -48,10 +49,10 @@
     const auto patience = streamPatience(route);
     return {arrival,
             arrival + longestWait(route, deadline - arrival),
-            arrival + route.targetLatency * inTimePercent / wholePercent,
+            arrival + percentOf(route.targetLatency, inTimePercent),
             arrival + uncrowdedWait,
-            patience * silencePercent / wholePercent,
-            patience * silentVmPercent / wholePercent};
+            percentOf(patience, silencePercent),
+            percentOf(patience, silentVmPercent)};
 }
 
 } // namespace lycheelanding::forwarding
--- a/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
@@ -109,7 +109,8 @@
                     decisions::mapswitch::CommandAnswer answer);
     /// Keeps in mind what the own engine has been shown.
     void noteShown(const AddressedCommand &command, decisions::mapswitch::CommandAnswer answer);
-    void commandDirectly(const CommandEngine &action, const asio::ip::tcp::endpoint &engine);
+    void commandOwnEngine(const AddressedCommand &command,
+                          std::function<void(decisions::mapswitch::CommandAnswer)> onAnswer);
     void carryOutOrder(const asio::ip::udp::endpoint &sender, const CommandOrder &order);
     void onReply(const std::string &ip, const CommandReply &reply);
     /// Gives up the lead when the VM stood still: the lease may have ended meanwhile.
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -320,8 +320,12 @@
     if (!isLeading()) {
         return;
     }
+    const auto onAnswer
+        = [this, ip = action.ip, number = action.number, fence = action.command.fence](CommandAnswer answer) {
+              onReply(ip, {number, fence, answer});
+          };
     if (action.ip == m_settings.ip) {
-        commandDirectly(action, m_settings.engine);
+        commandOwnEngine(action.command, onAnswer);
         return;
     }
     // Orders are cheap from an engine's own VM. Without a reply its side may be gone, though the engine is not.
@@ -337,7 +341,7 @@
     }
     const auto engine = m_engines.find(action.ip);
     if (engine != m_engines.end()) {
-        commandDirectly(action, engine->second);
+        m_engine.command(engine->second, action.command, onAnswer);
     }
 }
 
@@ -352,15 +356,12 @@
                  {"step", static_cast<std::int64_t>(command.step.number())}});
 }
 
-void SideServer::commandDirectly(const CommandEngine &action, const asio::ip::tcp::endpoint &engine)
+void SideServer::commandOwnEngine(const AddressedCommand &command, std::function<void(CommandAnswer)> onAnswer)
 {
-    m_engine.command(engine, action.command,
-                     [this, ip = action.ip, number = action.number, command = action.command](CommandAnswer answer) {
-                         if (ip == m_settings.ip) {
-                             noteShown(command, answer);
-                         }
-                         onReply(ip, {number, command.fence, answer});
-                     });
+    m_engine.command(m_settings.engine, command, [this, command, onAnswer = std::move(onAnswer)](CommandAnswer answer) {
+        noteShown(command, answer);
+        onAnswer(answer);
+    });
 }
 
 void SideServer::noteShown(const AddressedCommand &command, CommandAnswer answer)
@@ -376,9 +377,8 @@
 
 void SideServer::carryOutOrder(const asio::ip::udp::endpoint &sender, const CommandOrder &order)
 {
-    m_engine.command(m_settings.engine, order.command,
+    commandOwnEngine(order.command,
                      [this, sender, number = order.number, command = order.command](CommandAnswer answer) {
-                         noteShown(command, answer);
                          if (answer != CommandAnswer::Done) {
                              logCommand("commandRefused", m_settings.ip, command.command, answer);
                          }
--- a/packages/forwarding/include/lycheelanding/forwarding/answertimes.h
+++ b/packages/report/include/lycheelanding/report/answertimes.h
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <optional>
 
-namespace lycheelanding::forwarding {
+namespace lycheelanding::report {
 
 /// When the parts of one answer came.
 class AnswerTimes
@@ -34,4 +34,4 @@
     core::Duration m_longestPause = core::Duration::zero();
 };
 
-} // namespace lycheelanding::forwarding
+} // namespace lycheelanding::report
