--- a/packages/forwarding/include/lycheelanding/forwarding/passpace.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/passpace.h
@@ -17,9 +17,11 @@
 public:
     explicit PassPace(const StepTimes &steps) : m_steps(steps) { }
 
-    /// A stream of the group had an event `pause` after the one before, while its ranks ran `meanRunning` requests
-    /// each.
-    void eventSeen(core::Duration pause, double meanRunning, core::TimePoint now);
+    /// A stream of the group had an event `pause` after the one before. True when a window of pauses is over:
+    /// endWindow() is due.
+    bool eventSeen(core::Duration pause, core::TimePoint now);
+    /// The group's ranks run `meanRunning` requests each.
+    void endWindow(double meanRunning, core::TimePoint now);
     /// Requests that a rank may run so that a pass takes at most `longestPass`; nothing without recent events.
     std::optional<double> mostRunning(core::Duration longestPass, core::TimePoint now) const;
 
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -1,5 +1,7 @@
 #include "lycheelanding/forwarding/backendset.h"
 
+#include "lycheelanding/forwarding/percent.h"
+
 #include <algorithm>
 #include <charconv>
 #include <chrono>
@@ -28,7 +30,6 @@
 /// Part of the longest pause, in percent, that a pass may take: the rest is for requests that other entries send at the
 /// same time, for prompts and for the way of the event.
 constexpr int passPercent = 92;
-constexpr int wholePercent = 100;
 /// Pause after a backend server has refused a request: about the time in which it ends one.
 constexpr std::chrono::milliseconds refusalPause{150};
 /// Tokens that a running request is likely to have left: half of a usual answer.
@@ -154,7 +155,7 @@
     }
     const auto pace = m_paces.find(load.group);
     const auto most = pace != m_paces.end() && request.longestPause > core::Duration::zero()
-        ? pace->second.mostRunning(request.longestPause * passPercent / wholePercent, now)
+        ? pace->second.mostRunning(percentOf(request.longestPause, passPercent), now)
         : std::nullopt;
     return most ? std::clamp(*most, slots * leastPart, slots) : slots * uncrowdedPart;
 }
@@ -226,7 +227,10 @@
         return;
     }
     const auto &group = condition->second.load->group;
-    m_paces.try_emplace(group, model->second.steps).first->second.eventSeen(pause, meanRunning(group, now), now);
+    auto &pace = m_paces.try_emplace(group, model->second.steps).first->second;
+    if (pace.eventSeen(pause, now)) {
+        pace.endWindow(meanRunning(group, now), now);
+    }
 }
 
 void BackendSet::ended(AttemptId attempt, Outcome outcome, core::TimePoint now)
--- a/packages/forwarding/src/passpace.cpp
+++ b/packages/forwarding/src/passpace.cpp
@@ -27,10 +27,15 @@
     return m_steps.stepsPerPass * (inSeconds(m_steps.step) + inSeconds(m_steps.perRequest) * running);
 }
 
-void PassPace::eventSeen(core::Duration pause, double meanRunning, core::TimePoint now)
+bool PassPace::eventSeen(core::Duration pause, core::TimePoint now)
 {
     m_shortestPause = std::min(pause, m_shortestPause.value_or(pause));
-    if (now < m_windowEnd) {
+    return now >= m_windowEnd;
+}
+
+void PassPace::endWindow(double meanRunning, core::TimePoint now)
+{
+    if (!m_shortestPause) {
         return;
     }
     m_windowEnd = now + window;
--- a/packages/forwarding/tests/passpacetest.cpp
+++ b/packages/forwarding/tests/passpacetest.cpp
@@ -20,6 +20,13 @@
     return std::chrono::duration_cast<core::Duration>(time);
 }
 
+void see(PassPace &pace, core::Duration pause, double meanRunning, core::TimePoint now)
+{
+    if (pace.eventSeen(pause, now)) {
+        pace.endWindow(meanRunning, now);
+    }
+}
+
 /// Plays passes of a group that gets all the requests that may run, up to `slots` a rank.
 struct FullGroup
 {
@@ -28,7 +35,7 @@
         for (int pass = 0; pass < passes; ++pass) {
             lastPass = passTime(factor, running);
             now += lastPass;
-            pace.eventSeen(lastPass, running, now);
+            see(pace, lastPass, running, now);
             running = std::clamp(pace.mostRunning(limit, now).value_or(0.75 * slots), 1.0, slots);
         }
     }
@@ -46,7 +53,7 @@
 {
     PassPace pace(steps);
     EXPECT_FALSE(pace.mostRunning(limit, start));
-    pace.eventSeen(60ms, 5.0, start);
+    see(pace, 60ms, 5.0, start);
     EXPECT_TRUE(pace.mostRunning(limit, start + 500ms));
     EXPECT_FALSE(pace.mostRunning(limit, start + 2s));
 }
@@ -85,8 +92,8 @@
     for (int pass = 0; pass < 20; ++pass) {
         now += 70ms;
         // One stream waited for its prompt to be read again; the other shows the pass.
-        pace.eventSeen(400ms, 8.0, now - 30ms);
-        pace.eventSeen(70ms, 8.0, now);
+        see(pace, 400ms, 8.0, now - 30ms);
+        see(pace, 70ms, 8.0, now);
     }
     EXPECT_GT(pace.mostRunning(limit, now).value_or(0.0), 12.0);
 }
