--- a/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
+++ b/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
@@ -134,12 +134,6 @@
         Watching,
     };
 
-    struct Known
-    {
-        std::string value;
-        std::uint64_t revision = 0;
-    };
-
     void beginReading(core::TimePoint now, FollowerActions &actions);
     void readPage(std::string afterKey, core::TimePoint now, FollowerActions &actions);
     void watch(core::TimePoint now, FollowerActions &actions);
--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupleader.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupleader.h
@@ -60,7 +60,7 @@
     void openSwitch(core::TimePoint now, LeaderActions &actions);
     std::optional<decisions::experts::ExpertMap> currentMap() const;
     void planIfDue(core::TimePoint now, LeaderActions &actions);
-    void take(const GroupSwitchActions &switchActions, core::TimePoint now, LeaderActions &actions);
+    void take(const GroupSwitchActions &switchActions, LeaderActions &actions);
 
     const core::GroupId m_group;
     const decisions::mapswitch::FencingNumber m_fence;
--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
@@ -37,8 +37,7 @@
 class GroupSwitch
 {
 public:
-    GroupSwitch(decisions::mapswitch::FencingNumber fence, const std::vector<decisions::mapswitch::RankState> &ranks,
-                core::TimePoint now);
+    GroupSwitch(decisions::mapswitch::FencingNumber fence, const std::vector<decisions::mapswitch::RankState> &ranks);
 
     /// Shows every engine the leader's fencing number; a rank's session is opened with a state that was read after
     /// that, so that the coordinator finds out what an earlier leader has left and nothing of it comes later.
@@ -54,9 +53,7 @@
     GroupSwitchActions tick(core::TimePoint now);
 
     bool isIdle() const;
-    decisions::mapswitch::SwitchPhase phase() const { return m_coordinator.phase(); }
     core::MapVersion map() const { return m_coordinator.map(); }
-    core::Generation generation() const { return m_generation; }
     /// The content of a version that this leader has made.
     const decisions::experts::ExpertMap *content(core::MapVersion version) const;
 
--- a/packages/rankgroups/src/groupleader.cpp
+++ b/packages/rankgroups/src/groupleader.cpp
@@ -60,7 +60,7 @@
         openSwitch(now, actions);
         return actions;
     }
-    take(m_switch->stateRead(rank, news.report.state, now, news.report.shownFence), now, actions);
+    take(m_switch->stateRead(rank, news.report.state, now, news.report.shownFence), actions);
     if (!news.counts.empty()) {
         m_planner->countsRead(rank, news.counts, now);
     }
@@ -78,8 +78,8 @@
         states.push_back(member.report.state);
     }
     m_planner.emplace(m_shape, states.size());
-    m_switch = std::make_unique<GroupSwitch>(m_fence, states, now);
-    take(m_switch->start(now), now, actions);
+    m_switch = std::make_unique<GroupSwitch>(m_fence, states);
+    take(m_switch->start(now), actions);
 }
 
 std::optional<ExpertMap> GroupLeader::currentMap() const
@@ -122,7 +122,7 @@
     m_planner->switchBegun(*move, now);
     actions.emplace_back(
         SwitchNote{"mapSwitchBegun", current->version(), move->loads.size(), move->skewBefore, move->skewAfter});
-    take(m_switch->switchTo(move->next, now), now, actions);
+    take(m_switch->switchTo(move->next, now), actions);
 }
 
 LeaderActions GroupLeader::answered(const std::string &ip, std::uint64_t number, CommandAnswer answer,
@@ -132,7 +132,7 @@
     const auto found
         = std::find_if(m_members.begin(), m_members.end(), [&ip](const auto &entry) { return entry.second.ip == ip; });
     if (m_switch && found != m_members.end()) {
-        take(m_switch->answered(found->first, number, answer, now), now, actions);
+        take(m_switch->answered(found->first, number, answer, now), actions);
     }
     return actions;
 }
@@ -141,12 +141,12 @@
 {
     LeaderActions actions;
     if (m_switch) {
-        take(m_switch->tick(now), now, actions);
+        take(m_switch->tick(now), actions);
     }
     return actions;
 }
 
-void GroupLeader::take(const GroupSwitchActions &switchActions, core::TimePoint, LeaderActions &actions)
+void GroupLeader::take(const GroupSwitchActions &switchActions, LeaderActions &actions)
 {
     for (const auto &action : switchActions) {
         if (const auto *command = std::get_if<CommandRank>(&action)) {
--- a/packages/rankgroups/src/groupswitch.cpp
+++ b/packages/rankgroups/src/groupswitch.cpp
@@ -59,7 +59,7 @@
     return result;
 }
 
-GroupSwitch::GroupSwitch(FencingNumber fence, const std::vector<RankState> &ranks, core::TimePoint)
+GroupSwitch::GroupSwitch(FencingNumber fence, const std::vector<RankState> &ranks)
     : m_fence(fence), m_generation(ranks.front().generation),
       m_coordinator(switchSettings(), core::Incarnation(fence.number()), ranks.size(), core::MapVersion())
 {
--- a/packages/rankgroups/tests/groupswitchtest.cpp
+++ b/packages/rankgroups/tests/groupswitchtest.cpp
@@ -36,7 +36,7 @@
         for (std::size_t rank = 0; rank < m_group.size(); ++rank) {
             states.push_back(m_group.state(rank));
         }
-        m_leaders.push_back(std::make_unique<GroupSwitch>(FencingNumber(++m_fence), states, m_now));
+        m_leaders.push_back(std::make_unique<GroupSwitch>(FencingNumber(++m_fence), states));
         take(m_leaders.size() - 1, m_leaders.back()->start(m_now));
     }
 
