Log why an answer was broken off and why there was no retry

answerBroken names the time limit of the request, who set it, the version of the configuration and how long the stream had been inactive; retryDenied says why a failed attempt was the last one.

--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -134,6 +134,7 @@
     std::string m_attemptName;
     TokenCounts m_tokens;
     core::TimePoint m_deadline;
+    TimeLimitSource m_deadlineSource = TimeLimitSource::Route;
     WaitLimits m_limits;
     std::uint32_t m_priority = 0;
     std::optional<decisions::attempts::RequestAttempts> m_attempts;
--- a/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
@@ -7,6 +7,7 @@
 #include "lycheelanding/report/answertimes.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -23,6 +24,39 @@
     std::size_t attempts = 0;
 };
 
+/// What bounds the time of a request.
+enum class TimeLimitSource : std::uint8_t {
+    /// The timeout of the route.
+    Route,
+    /// The time that the caller says it has left.
+    Caller,
+};
+
+std::string_view nameOf(TimeLimitSource source);
+
+/// Circumstances in which an answer that had begun was broken off.
+struct BrokenAnswer
+{
+    core::Error error;
+    std::size_t attempts = 0;
+    core::Duration timeLimit{};
+    TimeLimitSource timeLimitSource = TimeLimitSource::Route;
+    /// The configuration whose route the request follows.
+    core::ConfigurationVersion version;
+};
+
+/// Why a failed attempt was the last one of its request.
+enum class RetryDenial : std::uint8_t {
+    /// The route allows no more attempts.
+    AttemptsUsed,
+    /// The answer has begun and cannot be resumed.
+    NotResumable,
+    /// The retry policy refuses: the budget is spent, or the time or the kind of error does not allow it.
+    Policy,
+};
+
+std::string_view nameOf(RetryDenial denial);
+
 /// Writes the lines of one request to the event log.
 class RequestLog
 {
@@ -32,7 +66,8 @@
     void setName(std::string name) { m_name = std::move(name); }
 
     void writeRetry(const core::Error &error, std::size_t attempts);
-    void writeBroken(const core::Error &error);
+    void writeRetryDenied(RetryDenial denial, const core::Error &error, std::size_t attempts);
+    void writeBroken(const BrokenAnswer &broken, const report::AnswerTimes &times, core::TimePoint now);
     void writeRefused(const core::Error &error, std::size_t attempts, core::ConfigurationVersion version);
     void writeFinished(const RequestOutcome &outcome, const report::AnswerTimes &times, core::TimePoint now);
 
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -71,7 +71,11 @@
     const auto timeLeft = millisecondsIn(request.headers, m_resources.names.timeLeft);
     m_deadline = m_arrival + m_route->timeout;
     if (timeLeft) {
-        m_deadline = std::min(m_deadline, m_arrival + std::max(*timeLeft - answerMargin, answerMargin));
+        const auto callerDeadline = m_arrival + std::max(*timeLeft - answerMargin, answerMargin);
+        if (callerDeadline < m_deadline) {
+            m_deadline = callerDeadline;
+            m_deadlineSource = TimeLimitSource::Caller;
+        }
     }
     m_limits = waitLimitsOf(*m_route, m_arrival, m_deadline);
     m_priority = m_routes->priorityFor(*m_route, m_organisation);
@@ -376,6 +380,8 @@
     failed.deadline = m_deadline;
     const bool canResume = !m_answer.hasBegun() || m_answer.lastEvent();
     if (m_tried.size() >= m_route->maxAttempts || !canResume) {
+        m_log.writeRetryDenied(canResume ? RetryDenial::AttemptsUsed : RetryDenial::NotResumable, action.error,
+                               m_tried.size());
         execute(m_attempts->giveUp(action.error));
         return;
     }
@@ -385,6 +391,7 @@
     const auto decision = m_resources.retries.attemptFailed(m_service, failed, now());
     if (const auto *giveUp = std::get_if<decisions::retry::GiveUp>(&decision)) {
         m_resources.metrics.increment(report::Counter::RetriesDeniedByBudget);
+        m_log.writeRetryDenied(RetryDenial::Policy, giveUp->error, m_tried.size());
         execute(m_attempts->giveUp(giveUp->error));
         return;
     }
@@ -422,7 +429,8 @@
     endAttempt(Outcome::Cancelled);
     m_exchange->abort();
     m_resources.metrics.increment(report::Counter::AnswersBroken);
-    m_log.writeBroken(action.error);
+    m_log.writeBroken({action.error, m_tried.size(), m_deadline - m_arrival, m_deadlineSource, m_routes->version()},
+                      m_times, now());
     finish("broken", 0);
 }
 
--- a/packages/forwarding/src/requestlog.cpp
+++ b/packages/forwarding/src/requestlog.cpp
@@ -1,5 +1,8 @@
 #include "lycheelanding/forwarding/requestlog.h"
 
+#include "lycheelanding/core/nametable.h"
+
+#include <array>
 #include <chrono>
 #include <cstdint>
 
@@ -7,6 +10,17 @@
 
 namespace {
 
+constexpr std::array<core::NameEntry<TimeLimitSource>, 2> timeLimitSourceNames{{
+    {TimeLimitSource::Route, "route"},
+    {TimeLimitSource::Caller, "caller"},
+}};
+
+constexpr std::array<core::NameEntry<RetryDenial>, 3> retryDenialNames{{
+    {RetryDenial::AttemptsUsed, "attemptsUsed"},
+    {RetryDenial::NotResumable, "notResumable"},
+    {RetryDenial::Policy, "policy"},
+}};
+
 std::int64_t millisecondsOf(core::Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -14,6 +28,16 @@
 
 } // namespace
 
+std::string_view nameOf(TimeLimitSource source)
+{
+    return core::nameIn(timeLimitSourceNames, source);
+}
+
+std::string_view nameOf(RetryDenial denial)
+{
+    return core::nameIn(retryDenialNames, denial);
+}
+
 void RequestLog::writeRetry(const core::Error &error, std::size_t attempts)
 {
     m_log.write(LogImportance::Request, "retry",
@@ -23,10 +47,27 @@
                  {"attempts", static_cast<std::int64_t>(attempts)}});
 }
 
-void RequestLog::writeBroken(const core::Error &error)
+void RequestLog::writeRetryDenied(RetryDenial denial, const core::Error &error, std::size_t attempts)
+{
+    m_log.write(LogImportance::Request, "retryDenied",
+                {{"request", m_name},
+                 {"why", nameOf(denial)},
+                 {"reason", core::nameOf(error.kind)},
+                 {"detail", error.detail},
+                 {"attempts", static_cast<std::int64_t>(attempts)}});
+}
+
+void RequestLog::writeBroken(const BrokenAnswer &broken, const report::AnswerTimes &times, core::TimePoint now)
 {
     m_log.write(LogImportance::Request, "answerBroken",
-                {{"request", m_name}, {"reason", core::nameOf(error.kind)}, {"detail", error.detail}});
+                {{"request", m_name},
+                 {"reason", core::nameOf(broken.error.kind)},
+                 {"detail", broken.error.detail},
+                 {"attempts", static_cast<std::int64_t>(broken.attempts)},
+                 {"sinceEventMs", times.last() ? millisecondsOf(now - *times.last()) : -1},
+                 {"timeLimitMs", millisecondsOf(broken.timeLimit)},
+                 {"timeLimitOf", nameOf(broken.timeLimitSource)},
+                 {"configuration", static_cast<std::int64_t>(broken.version.number())}});
 }
 
 void RequestLog::writeRefused(const core::Error &error, std::size_t attempts, core::ConfigurationVersion version)
--- a/packages/forwarding/tests/requestlogdiagnosistest.cpp
+++ b/packages/forwarding/tests/requestlogdiagnosistest.cpp
@@ -142,4 +142,25 @@
     EXPECT_TRUE(contains(lineOf(lines, "requestOver"), "\"outcome\":\"broken\""));
 }
 
+TEST(RequestLogDiagnosis, brokenAnswerLogsItsTimeLimitAndWhyItWasNotRetried)
+{
+    LogPipe pipe;
+    EntrySimulation simulation(pipe.descriptor());
+    simulation.configure(RouteKind::Stream, std::chrono::seconds(7), 1);
+    simulation.addBackend([](const std::string &) {
+        return ScriptedResponse{"HTTP/1.1 200 OK\r\nProof: p\r\nAttempt: 77\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "11\r\nid: 1\ndata: one\n\n\r\n",
+                                true};
+    });
+    simulation.exchange(callerRequest("POST", "prompt"));
+    simulation.log().flush();
+    const auto lines = pipe.linesOf("77");
+    const auto denied = lineOf(lines, "retryDenied");
+    EXPECT_TRUE(contains(denied, "\"why\":\"attemptsUsed\"")) << denied;
+    const auto broken = lineOf(lines, "answerBroken");
+    EXPECT_TRUE(contains(broken, "\"timeLimitMs\":7000,\"timeLimitOf\":\"route\"")) << broken;
+    EXPECT_TRUE(contains(broken, "\"configuration\":1")) << broken;
+    EXPECT_TRUE(contains(broken, "\"sinceEventMs\":")) << broken;
+}
+
 } // namespace lycheelanding::forwarding
