Tests: inactive streams are cut off although they cannot be resumed

An entry ends a stream whose backend server is inactive for 60 % of the callers' patience before it knows whether another backend server can resume it. Three ways in which none can: the route allows no further attempt, no other backend server has capacity, the retry budget is spent.

--- a/packages/forwarding/tests/brokenstreamstest.cpp
+++ b/packages/forwarding/tests/brokenstreamstest.cpp
@@ -33,6 +33,13 @@
     return count;
 }
 
+/// A stream that is inactive between its two events for longer than the inactivity timeout, 2.4 s with the route of the
+/// simulation.
+ScriptedResponse slowStream()
+{
+    return {firstHead + chunk(event(1)), false, false, chunk(event(2)) + lastChunk, std::chrono::milliseconds(2800)};
+}
+
 /// The first request to any backend server of the simulation gets `first`, each later one `later`.
 FakeBackend::Script firstThenLater(int &requestCount, const ScriptedResponse &first, const ScriptedResponse &later)
 {
@@ -103,6 +110,52 @@
     stream.expectCompleteStream(2);
 }
 
+// A stalled group ended streams that were only slow: they were given up before it was known whether they could be
+// resumed.
+TEST(BrokenStreams, inactiveStreamIsKeptWhenItsRouteAllowsNoFurtherAttempt)
+{
+    EntrySimulation simulation;
+    simulation.configure(RouteKind::Stream, std::chrono::seconds(10), 1);
+    simulation.addBackend([](const std::string &) { return slowStream(); });
+    const auto answer = simulation.exchange(callerRequest("POST", "prompt"));
+    EXPECT_NE(answer.find(event(2)), std::string::npos) << answer;
+    EXPECT_TRUE(answer.ends_with(lastChunk)) << answer;
+}
+
+// The same fault: the stream was given up and then waited in vain for another backend server.
+TEST(BrokenStreams, inactiveStreamIsKeptWhileNoOtherBackendCanTakeIt)
+{
+    EntrySimulation simulation;
+    simulation.configure(RouteKind::Stream);
+    simulation.addBackend([](const std::string &) { return slowStream(); });
+    const auto answer = simulation.exchange(callerRequest("POST", "prompt"));
+    EXPECT_NE(answer.find(event(2)), std::string::npos) << answer;
+    EXPECT_TRUE(answer.ends_with(lastChunk)) << answer;
+}
+
+// The same fault: the streams of a stalled group spend the retry budget together, and the rest of them was cut off.
+TEST(BrokenStreams, inactiveStreamIsKeptWhenTheRetryBudgetIsSpent)
+{
+    EntrySimulation simulation;
+    simulation.configure(RouteKind::Stream);
+    bool isBudgetSpent = false;
+    int requestCount = 0;
+    const FakeBackend::Script script = [&isBudgetSpent, &requestCount](const std::string &) {
+        ++requestCount;
+        return isBudgetSpent ? slowStream() : ScriptedResponse{firstHead + chunk(event(1)), true};
+    };
+    simulation.addBackend(script);
+    simulation.addBackend(script);
+    // Two requests to backend servers for one of a caller as long as the budget allows retries.
+    for (int before = 0; !isBudgetSpent; before = requestCount) {
+        simulation.exchange(callerRequest("POST", "prompt"));
+        isBudgetSpent = requestCount == before + 1;
+    }
+    const auto answer = simulation.exchange(callerRequest("POST", "prompt"));
+    EXPECT_NE(answer.find(event(2)), std::string::npos) << answer;
+    EXPECT_TRUE(answer.ends_with(lastChunk)) << answer;
+}
+
 TEST(BrokenStreams, backendThatRestartsTheStreamCausesNoDuplicates)
 {
     const StreamSimulation stream({firstHead + chunk(event(1) + event(2)), true},
--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <array>
@@ -22,6 +23,9 @@
     std::string bytes;
     bool closesConnection = false;
     bool resetsConnection = false;
+    /// Sent after `delay` on the same connection, if not empty.
+    std::string delayedBytes = {};
+    std::chrono::milliseconds delay{};
 };
 
 /// A backend server that answers each request as the test's script says. Request bodies are short and arrive together
@@ -48,8 +52,11 @@
 private:
     struct Connection
     {
-        explicit Connection(asio::ip::tcp::socket accepted) : socket(std::move(accepted)) { }
+        explicit Connection(asio::ip::tcp::socket accepted)
+            : socket(std::move(accepted)), delayTimer(socket.get_executor())
+        { }
         asio::ip::tcp::socket socket;
+        asio::steady_timer delayTimer;
         std::array<char, 8192> buffer{};
         std::string output;
     };
@@ -91,10 +98,23 @@
                                   connection->socket.close();
                                   return;
                               }
+                              if (!response.delayedBytes.empty()) {
+                                  respondLater(connection, response);
+                              }
                               read(connection);
                           });
     }
 
+    void respondLater(const std::shared_ptr<Connection> &connection, const ScriptedResponse &response)
+    {
+        connection->output = response.delayedBytes;
+        connection->delayTimer.expires_after(response.delay);
+        connection->delayTimer.async_wait([connection](const auto &) {
+            asio::async_write(connection->socket, asio::buffer(connection->output),
+                              [connection](const auto &, auto) {});
+        });
+    }
+
     asio::ip::tcp::acceptor m_acceptor;
     const Script m_script;
     std::size_t m_connections = 0;
