Keep an inactive stream until another backend server can resume it

What callers saw: a stream ended in the middle of its answer, after 3 to 4 s of the 8 s that its caller gave it, although its backend server was sound and only slow. Several streams of an entry ended in the same millisecond, since the check runs over all of them every 100 ms and the ranks of a group stall together.

Cause: after 1.2 s without an event, or 0.6 s with no news of the VM, the attempt was cancelled first. Only then RequestAttempts, the route's number of attempts, the retry budget and the search for capacity said whether there may be another one; when any of them refused, nothing was left but to break the answer off. The class: giving up a working resource before its replacement is granted.

Now the entry asks the limits and the budget first, reserves a place at another backend server and only then cancels the inactive attempt; the new one starts without the backoff. A stream that can't be resumed goes on until its backend server ends it or its time is over.

--- a/packages/decisions/include/lycheelanding/decisions/retry/retrypolicy.h
+++ b/packages/decisions/include/lycheelanding/decisions/retry/retrypolicy.h
@@ -61,6 +61,8 @@
 
     /// The first attempt of a request was sent: adds budgetPercent of a retry to the budget.
     void firstAttemptSent();
+    /// Whether attemptFailed() would decide RetryAfter now.
+    bool allowsRetry(const FailedAttempt &failed, core::TimePoint now) const;
     /// Takes one retry from the budget if the decision is RetryAfter.
     RetryDecision attemptFailed(const FailedAttempt &failed, core::TimePoint now);
 
@@ -68,6 +70,7 @@
     std::uint32_t balance() const { return m_balancePercent / 100; }
 
 private:
+    bool isWithinLimits(const FailedAttempt &failed) const;
     core::Duration backoffDelay(std::uint32_t attempt);
 
     RetrySettings m_settings;
--- a/packages/decisions/src/retry/retrypolicy.cpp
+++ b/packages/decisions/src/retry/retrypolicy.cpp
@@ -34,6 +34,11 @@
     }
 }
 
+std::uint32_t doublingsBefore(std::uint32_t attempt)
+{
+    return std::min(std::max(attempt, 1U) - 1U, maxDoublings);
+}
+
 } // namespace
 
 RetryPolicy::RetryPolicy(RetrySettings settings, std::uint64_t seed)
@@ -45,11 +50,21 @@
     m_balancePercent = std::min(m_balancePercent + m_settings.budgetPercent, m_settings.maxBalance * retryCostPercent);
 }
 
+bool RetryPolicy::isWithinLimits(const FailedAttempt &failed) const
+{
+    return isRetrySafe(failed) && isRetryable(failed.error.kind) && failed.attempt < m_settings.maxAttempts
+        && m_balancePercent >= retryCostPercent;
+}
+
+bool RetryPolicy::allowsRetry(const FailedAttempt &failed, core::TimePoint now) const
+{
+    const auto maxDelay = m_settings.maxBaseDelay * (1U << doublingsBefore(failed.attempt));
+    return isWithinLimits(failed) && now + maxDelay + failed.expectedDuration < failed.deadline;
+}
+
 RetryDecision RetryPolicy::attemptFailed(const FailedAttempt &failed, core::TimePoint now)
 {
-    const bool isAllowed = isRetrySafe(failed) && isRetryable(failed.error.kind)
-        && failed.attempt < m_settings.maxAttempts && m_balancePercent >= retryCostPercent;
-    if (!isAllowed) {
+    if (!isWithinLimits(failed)) {
         return GiveUp{failed.error};
     }
     const core::Duration delay = backoffDelay(failed.attempt);
@@ -62,7 +77,7 @@
 
 core::Duration RetryPolicy::backoffDelay(std::uint32_t attempt)
 {
-    const std::uint32_t doublings = std::min(std::max(attempt, 1U) - 1U, maxDoublings);
+    const std::uint32_t doublings = doublingsBefore(attempt);
     const auto minDelay = m_settings.minBaseDelay * (1U << doublings);
     const auto maxDelay = m_settings.maxBaseDelay * (1U << doublings);
     return minDelay + std::chrono::duration_cast<core::Duration>((maxDelay - minDelay) * m_random.nextUnit());
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -42,7 +42,7 @@
     /// Sends waiting requests for which there is capacity now; to be called often.
     void sendWaitingRequests() { m_waiting.advance(m_clock.now()); }
     /// Resumes streams of inactive backend servers elsewhere; to be called several times a second.
-    void failInactiveAttempts();
+    void replaceInactiveAttempts();
     /// The registry has been read completely at least once.
     void backendsListed();
     /// Drains the entry, so that requests in progress can finish; calls `onStopped` when the process may exit.
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -47,6 +47,13 @@
     std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> &resumableStreams;
 };
 
+/// A place at a backend server that an attempt takes.
+struct ReservedBackend
+{
+    AttemptId attempt;
+    ChosenBackend backend;
+};
+
 /// One attempt at one backend server.
 struct ForwardedAttempt
 {
@@ -73,9 +80,9 @@
     bool trySend();
     /// Gives up the request at its waitDeadline().
     void onWaitTimeout();
-    /// Fails the current attempt if its backend server has been inactive for too long, so that another one can resume
-    /// the stream.
-    void failInactiveAttempt();
+    /// Replaces the current attempt if its backend server has been inactive for too long and another one can resume the
+    /// stream now. Otherwise the attempt goes on: the backend server may only be slow.
+    void replaceInactiveAttempt();
     bool isFinished() const { return m_isFinished; }
     core::TimePoint waitDeadline() const { return m_limits.waitDeadline; }
     const core::ServiceId &service() const { return m_service; }
@@ -89,8 +96,12 @@
     core::Result<const Route *> findRoute();
     void startTimer();
     void startAttempt();
+    std::optional<ReservedBackend> reserveReplacement(const core::Error &error);
+    std::optional<RetryDenial> retryDenial() const;
+    decisions::retry::FailedAttempt failedAttempt(const core::Error &error, core::Ran ran) const;
+    std::optional<ReservedBackend> reserveBackend();
     BackendRequirements backendRequirements() const;
-    void beginAttempt(const ChosenBackend &chosen);
+    void beginAttempt(const ReservedBackend &reserved);
     void openConnection();
     void onConnected(AttemptNumber attempt, const core::Status &status);
     http::AnswerHandlers answerHandlers(AttemptNumber attempt);
@@ -139,6 +150,8 @@
     std::uint32_t m_priority = 0;
     std::optional<decisions::attempts::RequestAttempts> m_attempts;
     std::optional<ForwardedAttempt> m_attempt;
+    /// For the attempt that replaces an inactive one.
+    std::optional<ReservedBackend> m_replacement;
     std::vector<BackendId> m_tried;
     /// Error answer of the last failed backend server; the caller receives it when there is no further attempt.
     std::optional<http::HttpResponse> m_backendFailure;
--- a/packages/forwarding/include/lycheelanding/forwarding/retrybudgets.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/retrybudgets.h
@@ -35,6 +35,11 @@
         return policyOf(service).attemptFailed(failed, now);
     }
 
+    bool allowsRetry(const core::ServiceId &service, const decisions::retry::FailedAttempt &failed, core::TimePoint now)
+    {
+        return policyOf(service).allowsRetry(failed, now);
+    }
+
 private:
     decisions::retry::RetryPolicy &policyOf(const core::ServiceId &service);
 
--- a/packages/forwarding/include/lycheelanding/forwarding/waitlimits.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/waitlimits.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "lycheelanding/core/clock.h"
+#include "lycheelanding/core/result.h"
 #include "lycheelanding/forwarding/forwardingconfiguration.h"
 
+#include <optional>
+
 namespace lycheelanding::forwarding {
 
 /// Time limits of a request that waits for a backend server, or whose stream is inactive.
@@ -21,6 +24,10 @@
     core::Duration unresponsiveVmTimeout{};
 };
 
+/// The error of a stream that has had no event for `inactivity`; empty while its backend server counts as slow.
+std::optional<core::Error> inactivityError(const WaitLimits &limits, core::Duration inactivity, bool hasBegun,
+                                           bool isVmUnresponsive);
+
 WaitLimits waitLimitsOf(const Route &route, core::TimePoint arrival, core::TimePoint deadline);
 
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/src/answerclass.cpp
+++ b/packages/forwarding/src/answerclass.cpp
@@ -49,4 +49,21 @@
     return !named || *named == attempt;
 }
 
+core::Error errorOf(AnswerClass answerClass, const std::string &backendName)
+{
+    switch (answerClass) {
+    case AnswerClass::Valid:
+        break;
+    case AnswerClass::Failure:
+        return {core::ErrorKind::BackendServerFailed, backendName + " failed the request"};
+    case AnswerClass::NotRun:
+        return {core::ErrorKind::Overloaded, backendName + " has not run the request"};
+    case AnswerClass::Misdirected:
+        return {core::ErrorKind::NoBackendServer, "another backend server has the address of " + backendName};
+    case AnswerClass::Invalid:
+        return {core::ErrorKind::BackendServerFailed, backendName + " gave an answer that cannot be passed on"};
+    }
+    return {};
+}
+
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -175,7 +175,7 @@
     std::make_shared<ForwardedExchange>(resources, m_routes, exchange, onFinished)->start();
 }
 
-void EntryServer::failInactiveAttempts()
+void EntryServer::replaceInactiveAttempts()
 {
     // Resuming a stream may finish requests, which removes them from m_resumableStreams.
     std::vector<std::shared_ptr<ForwardedExchange>> resumableStreams;
@@ -185,7 +185,7 @@
         }
     }
     for (const auto &stream : resumableStreams) {
-        stream->failInactiveAttempt();
+        stream->replaceInactiveAttempt();
     }
 }
 
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -125,15 +125,23 @@
     }
 }
 
-bool ForwardedExchange::trySend()
+std::optional<ReservedBackend> ForwardedExchange::reserveBackend()
 {
     m_resources.lastAttempt = m_resources.lastAttempt.next();
     const auto chosen = m_resources.backends.selectBackend(backendRequirements(), m_resources.lastAttempt, now());
     if (!core::isOk(chosen)) {
-        return false;
+        return std::nullopt;
+    }
+    return ReservedBackend{m_resources.lastAttempt, core::valueOf(chosen)};
+}
+
+bool ForwardedExchange::trySend()
+{
+    const auto reserved = reserveBackend();
+    if (reserved) {
+        beginAttempt(*reserved);
     }
-    beginAttempt(core::valueOf(chosen));
-    return true;
+    return reserved.has_value();
 }
 
 void ForwardedExchange::onWaitTimeout()
@@ -145,12 +153,12 @@
                             retryAfterWaiting(waited, m_attemptName)}));
 }
 
-void ForwardedExchange::beginAttempt(const ChosenBackend &chosen)
+void ForwardedExchange::beginAttempt(const ReservedBackend &reserved)
 {
     m_attempt.emplace();
     m_attempt->number = m_attempts->attemptStarted();
-    m_attempt->id = m_resources.lastAttempt;
-    m_attempt->backend = chosen;
+    m_attempt->id = reserved.attempt;
+    m_attempt->backend = reserved.backend;
     m_attempt->startedAt = now();
     m_answer.restart();
     m_tried.push_back(m_attempt->backend.id);
@@ -267,7 +275,7 @@
         m_resources.pool.release(m_attempt->connection);
         m_attempt->connection.reset();
     }
-    const std::string backendName = m_attempt->backend.id.text();
+    const auto error = errorOf(m_attempt->answerClass, m_attempt->backend.id.text());
     switch (m_attempt->answerClass) {
     case AnswerClass::Valid:
         finishAnswer();
@@ -275,25 +283,19 @@
     case AnswerClass::Failure:
         m_backendFailure = m_answer.heldResponse(m_attempt->head);
         endAttempt(Outcome::Answered);
-        execute(m_attempts->lost(attempt, {core::ErrorKind::BackendServerFailed, backendName + " failed the request"},
-                                 now()));
+        execute(m_attempts->lost(attempt, error, now()));
         return;
     case AnswerClass::NotRun:
         endAttempt(Outcome::Refused);
-        execute(m_attempts->refused(attempt, {core::ErrorKind::Overloaded, backendName + " has not run the request"},
-                                    now()));
+        execute(m_attempts->refused(attempt, error, now()));
         return;
     case AnswerClass::Misdirected:
         endAttempt(Outcome::Leaving);
-        execute(m_attempts->refused(
-            attempt, {core::ErrorKind::NoBackendServer, "another backend server has the address of " + backendName},
-            now()));
+        execute(m_attempts->refused(attempt, error, now()));
         return;
     case AnswerClass::Invalid:
         endAttempt(Outcome::Failed);
-        execute(m_attempts->lost(
-            attempt, {core::ErrorKind::BackendServerFailed, backendName + " gave an answer that cannot be passed on"},
-            now()));
+        execute(m_attempts->lost(attempt, error, now()));
         return;
     }
 }
@@ -319,27 +321,35 @@
     execute(m_attempts->lost(attempt, backendLostError(error), now()));
 }
 
-void ForwardedExchange::failInactiveAttempt()
+std::optional<ReservedBackend> ForwardedExchange::reserveReplacement(const core::Error &error)
+{
+    const bool isAllowed
+        = !retryDenial() && m_resources.retries.allowsRetry(m_service, failedAttempt(error, core::Ran::Unknown), now());
+    return isAllowed ? reserveBackend() : std::nullopt;
+}
+
+void ForwardedExchange::replaceInactiveAttempt()
 {
     if (!m_attempt || !m_attempt->connection || !m_attempt->connection->isOpen()) {
         return;
     }
     const auto inactivity = now() - std::max(m_times.last().value_or(m_arrival), m_attempt->startedAt);
-    const bool isVmUnresponsive = m_resources.backends.isUnresponsive(m_attempt->backend.id, now());
-    // Before its first event the request may still be queued at the engine.
-    const bool isLost = isVmUnresponsive ? inactivity >= m_limits.unresponsiveVmTimeout
-                                         : m_answer.hasBegun() && inactivity >= m_limits.inactivityTimeout;
-    if (!isLost) {
+    const auto error = inactivityError(m_limits, inactivity, m_answer.hasBegun(),
+                                       m_resources.backends.isUnresponsive(m_attempt->backend.id, now()));
+    if (!error) {
+        return;
+    }
+    // The replacement is reserved first, since the inactive attempt may still be the only one that can finish.
+    m_replacement = reserveReplacement(*error);
+    if (!m_replacement) {
         return;
     }
     const auto attempt = m_attempt->number;
     endAttempt(Outcome::Failed);
-    execute(m_attempts->lost(
-        attempt,
-        {core::ErrorKind::BackendServerLost,
-         "no event for " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(inactivity).count())
-             + " ms" + (isVmUnresponsive ? ", and no news of its VM" : "")},
-        now()));
+    execute(m_attempts->lost(attempt, *error, now()));
+    if (const auto unused = std::exchange(m_replacement, std::nullopt)) {
+        m_resources.backends.recordAttemptEnd(unused->attempt, Outcome::Cancelled, now());
+    }
 }
 
 void ForwardedExchange::onTimeout()
@@ -370,25 +380,31 @@
     }
 }
 
-void ForwardedExchange::execute(const RetryPossible &action)
+std::optional<RetryDenial> ForwardedExchange::retryDenial() const
 {
-    decisions::retry::FailedAttempt failed;
-    failed.attempt = static_cast<std::uint32_t>(m_tried.size());
-    failed.error = action.error;
-    failed.ran = action.ran;
-    failed.isIdempotent = m_route->isIdempotent();
-    failed.deadline = m_deadline;
+    if (m_tried.size() >= m_route->maxAttempts) {
+        return RetryDenial::AttemptsUsed;
+    }
     const bool canResume = !m_answer.hasBegun() || m_answer.lastEvent();
-    if (m_tried.size() >= m_route->maxAttempts || !canResume) {
-        m_log.writeRetryDenied(canResume ? RetryDenial::AttemptsUsed : RetryDenial::NotResumable, action.error,
-                               m_tried.size());
+    return canResume ? std::nullopt : std::optional(RetryDenial::NotResumable);
+}
+
+decisions::retry::FailedAttempt ForwardedExchange::failedAttempt(const core::Error &error, core::Ran ran) const
+{
+    return {static_cast<std::uint32_t>(m_tried.size()), error, ran, m_route->isIdempotent(), m_deadline};
+}
+
+void ForwardedExchange::execute(const RetryPossible &action)
+{
+    if (const auto denial = retryDenial()) {
+        m_log.writeRetryDenied(*denial, action.error, m_tried.size());
         execute(m_attempts->giveUp(action.error));
         return;
     }
     if (m_answer.hasBegun()) {
         m_limits = waitLimitsOf(*m_route, now(), m_deadline);
     }
-    const auto decision = m_resources.retries.attemptFailed(m_service, failed, now());
+    const auto decision = m_resources.retries.attemptFailed(m_service, failedAttempt(action.error, action.ran), now());
     if (const auto *giveUp = std::get_if<decisions::retry::GiveUp>(&decision)) {
         m_resources.metrics.increment(report::Counter::RetriesDeniedByBudget);
         m_log.writeRetryDenied(RetryDenial::Policy, giveUp->error, m_tried.size());
@@ -397,6 +413,11 @@
     }
     m_resources.metrics.increment(report::Counter::RetriesSent);
     m_log.writeRetry(action.error, m_tried.size());
+    if (const auto replacement = std::exchange(m_replacement, std::nullopt)) {
+        // The backoff would only delay an attempt whose place is reserved.
+        beginAttempt(*replacement);
+        return;
+    }
     m_retryTimer.expires_after(std::get<decisions::retry::RetryAfter>(decision).delay);
     m_retryTimer.async_wait([self = shared_from_this()](const auto &error) {
         if (!error && !self->m_isFinished) {
--- a/packages/forwarding/src/waitlimits.cpp
+++ b/packages/forwarding/src/waitlimits.cpp
@@ -3,6 +3,7 @@
 #include "lycheelanding/forwarding/percent.h"
 
 #include <algorithm>
+#include <string>
 
 namespace lycheelanding::forwarding {
 
@@ -46,6 +47,21 @@
 
 } // namespace
 
+std::optional<core::Error> inactivityError(const WaitLimits &limits, core::Duration inactivity, bool hasBegun,
+                                           bool isVmUnresponsive)
+{
+    // Before its first event the request may still be queued at the engine.
+    const bool isInactive = isVmUnresponsive ? inactivity >= limits.unresponsiveVmTimeout
+                                             : hasBegun && inactivity >= limits.inactivityTimeout;
+    if (!isInactive) {
+        return std::nullopt;
+    }
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(inactivity).count();
+    return core::Error{core::ErrorKind::BackendServerLost,
+                       "no event for " + std::to_string(milliseconds) + " ms"
+                           + (isVmUnresponsive ? ", and no news of its VM" : "")};
+}
+
 WaitLimits waitLimitsOf(const Route &route, core::TimePoint arrival, core::TimePoint deadline)
 {
     const auto clientTimeout = streamClientTimeout(route);
--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -191,7 +191,7 @@
             m_context.run_one_for(std::chrono::milliseconds(10));
             m_context.restart();
             m_entry.sendWaitingRequests();
-            m_entry.failInactiveAttempts();
+            m_entry.replaceInactiveAttempts();
         }
         return condition();
     }
