--- a/packages/decisions/include/lycheelanding/decisions/retry/retrypolicy.h
+++ b/packages/decisions/include/lycheelanding/decisions/retry/retrypolicy.h
@@ -61,7 +61,7 @@
 
     /// The first attempt of a request was sent: adds budgetPercent of a retry to the budget.
     void firstAttemptSent();
-    /// Whether attemptFailed() would decide RetryAfter now.
+    /// Whether attemptFailed() is certain to decide RetryAfter now, whatever delay it draws.
     bool allowsRetry(const FailedAttempt &failed, core::TimePoint now) const;
     /// Takes one retry from the budget if the decision is RetryAfter.
     RetryDecision attemptFailed(const FailedAttempt &failed, core::TimePoint now);
--- a/packages/decisions/tests/retry/retrypolicytest.cpp
+++ b/packages/decisions/tests/retry/retrypolicytest.cpp
@@ -30,7 +30,9 @@
         ++requests;
         FailedAttempt failed = failure(static_cast<core::Ran>(value % 3), value % 2 == 0, now + 1ms * (value % 200));
         failed.attempt = 1 + value % 4;
+        const bool isAllowed = policy.allowsRetry(failed, now);
         const auto decision = policy.attemptFailed(failed, now);
+        RC_ASSERT(!isAllowed || std::holds_alternative<RetryAfter>(decision));
         if (const auto *retry = std::get_if<RetryAfter>(&decision)) {
             ++retries;
             RC_ASSERT(failed.ran == core::Ran::No || failed.isIdempotent);
