--- a/packages/rankgroups/include/lycheelanding/rankgroups/datagramsocket.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/datagramsocket.h
@@ -22,8 +22,8 @@
 
     /// Fails with InvalidSettings when the address cannot be bound.
     core::Status open(const asio::ip::udp::endpoint &address);
-    /// Drops the message if the socket cannot send it without blocking.
-    void send(const asio::ip::udp::endpoint &receiver, const Datagram &datagram);
+    /// Drops the message if the socket cannot send it without blocking. Returns the size of the message in bytes.
+    std::size_t send(const asio::ip::udp::endpoint &receiver, const Datagram &datagram);
 
 private:
     void receive();
--- a/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
@@ -5,8 +5,10 @@
 #include "lycheelanding/decisions/membership/backenddirectory.h"
 #include "lycheelanding/forwarding/eventlog.h"
 #include "lycheelanding/forwarding/suspensiondetector.h"
+#include "lycheelanding/rankgroups/countsschedule.h"
 #include "lycheelanding/rankgroups/datagramsocket.h"
 #include "lycheelanding/rankgroups/groupleader.h"
+#include "lycheelanding/rankgroups/statussubscribers.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -66,6 +68,8 @@
     std::uint16_t datagramPort = 0;
     core::ServiceId service;
     asio::ip::tcp::endpoint engine;
+    /// Rate of the VM's link, which the VMs of all sides share; 0 if unknown.
+    double linkBitsPerSecond = 0.0;
 };
 
 /// A side: reads the state of the engine on its VM, sends status updates to entries and leaders, and leads its group
@@ -79,13 +83,6 @@
     core::Status start();
 
 private:
-    struct Subscriber
-    {
-        bool isLeader = false;
-        core::TimePoint expiresAt;
-        core::TimePoint nextStatus;
-    };
-
     void tick();
     core::Duration currentReadInterval() const;
     void readEngine();
@@ -94,7 +91,6 @@
     void readHeldExpertsIfDue();
     void onDatagram(const asio::ip::udp::endpoint &sender, const Datagram &datagram);
     void sendStatus();
-    bool hasLeaderSubscriber() const;
     bool isLeading() const { return m_leader != nullptr; }
 
     void execute(const decisions::mapswitch::LeadershipActions &actions);
@@ -126,7 +122,8 @@
     core::SystemClock m_clock;
     asio::steady_timer m_timer;
     DatagramSocket m_socket;
-    std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
+    StatusSubscribers m_subscribers;
+    CountsSchedule m_countsSchedule;
     struct InstalledFencingToken
     {
         core::Generation generation;
@@ -143,7 +140,6 @@
     ChoiceCounts m_counts;
     HeldExperts m_heldExperts;
     std::optional<std::pair<core::Generation, core::MapVersion>> m_heldExpertsVersion;
-    core::TimePoint m_nextCounts;
     decisions::mapswitch::GroupLeadership m_leadership{decisions::mapswitch::LeadershipSettings()};
     std::unique_ptr<GroupLeader> m_leader;
     /// Engines of the local service by the IP address of their VM.
--- /dev/null
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/statussubscribers.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "lycheelanding/core/clock.h"
+#include "lycheelanding/rankgroups/rankdatagrams.h"
+
+#include <asio/ip/udp.hpp>
+
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace lycheelanding::rankgroups {
+
+struct AddressedStatus
+{
+    asio::ip::udp::endpoint receiver;
+    RankStatus status;
+};
+
+/// The entries and leaders that subscribe to a side, and the status updates that are due to them.
+class StatusSubscribers
+{
+public:
+    void subscribed(const asio::ip::udp::endpoint &subscriber, bool isLeader, core::TimePoint now);
+    /// Whether the leader of the side's group subscribes.
+    bool hasLeader() const;
+    /// The status updates to send now, in this order. Ends subscriptions that have expired. `latest` has the report,
+    /// the counts if they were read since the last call, and the experts that the rank holds in the report's map.
+    std::vector<AddressedStatus> due(const RankStatus &latest, core::TimePoint now);
+
+private:
+    struct Subscriber
+    {
+        bool isLeader = false;
+        core::TimePoint expiresAt;
+        core::TimePoint nextStatus;
+    };
+
+    std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
+};
+
+} // namespace lycheelanding::rankgroups
--- a/packages/rankgroups/src/datagramsocket.cpp
+++ b/packages/rankgroups/src/datagramsocket.cpp
@@ -27,10 +27,12 @@
     return core::Done();
 }
 
-void DatagramSocket::send(const asio::ip::udp::endpoint &receiver, const Datagram &datagram)
+std::size_t DatagramSocket::send(const asio::ip::udp::endpoint &receiver, const Datagram &datagram)
 {
+    const std::string bytes = encodeDatagram(datagram);
     asio::error_code ignored;
-    m_socket.send_to(asio::buffer(encodeDatagram(datagram)), receiver, 0, ignored);
+    m_socket.send_to(asio::buffer(bytes), receiver, 0, ignored);
+    return bytes.size();
 }
 
 void DatagramSocket::receive()
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -1,8 +1,8 @@
 #include "lycheelanding/rankgroups/sideserver.h"
 
+#include "lycheelanding/core/stablehash.h"
 #include "lycheelanding/forwarding/backendset.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace lycheelanding::rankgroups {
@@ -18,11 +18,6 @@
 constexpr std::chrono::milliseconds groupReadInterval{50};
 /// The same while this side leads a map switch, since the step of the switch is chosen from the read state.
 constexpr std::chrono::milliseconds switchReadInterval{25};
-/// Minimum interval between two status updates to an entry: the load of an engine changes with each request, and an
-/// engine finishes some requests per second.
-constexpr std::chrono::milliseconds statusInterval{100};
-constexpr std::chrono::milliseconds countsReadInterval{100};
-constexpr std::chrono::seconds subscriptionTimeToLive{3};
 constexpr std::chrono::milliseconds subscribeInterval{300};
 constexpr std::chrono::seconds backendsReadInterval{5};
 /// The same while some rank of the group has no recent status, as after a start.
@@ -48,7 +43,8 @@
 SideServer::SideServer(asio::io_context &context, const SideServerSettings &settings, EngineInterface engine,
                        LeaderStoreInterface store, forwarding::EventLog &log)
     : m_settings(settings), m_engine(std::move(engine)), m_store(std::move(store)), m_log(log), m_timer(context),
-      m_socket(context, [this](const auto &sender, const auto &datagram) { onDatagram(sender, datagram); })
+      m_socket(context, [this](const auto &sender, const auto &datagram) { onDatagram(sender, datagram); }),
+      m_countsSchedule(settings.linkBitsPerSecond, core::stableHash(settings.ip))
 { }
 
 core::Status SideServer::start()
@@ -99,7 +95,7 @@
     if (isLeading() && m_leader->isSwitching()) {
         return switchReadInterval;
     }
-    return isLeading() || hasLeaderSubscriber() ? groupReadInterval : readInterval;
+    return isLeading() || m_subscribers.hasLeader() ? groupReadInterval : readInterval;
 }
 
 void SideServer::readEngine()
@@ -135,7 +131,7 @@
     if (isLeading() && m_leader->group() != m_report.group) {
         execute(m_leadership.resign(m_clock.now()));
     }
-    if (isLeading() || hasLeaderSubscriber()) {
+    if (isLeading() || m_subscribers.hasLeader()) {
         readCountsIfDue();
         readHeldExpertsIfDue();
     }
@@ -149,11 +145,11 @@
 void SideServer::readCountsIfDue()
 {
     const auto now = m_clock.now();
-    if (m_isReadingCounts || now < m_nextCounts) {
+    if (m_isReadingCounts || !m_countsSchedule.isDue(now)) {
         return;
     }
     m_isReadingCounts = true;
-    m_nextCounts = now + countsReadInterval;
+    m_countsSchedule.readStarted(now);
     m_engine.readCounts([this](std::optional<ChoiceCounts> counts) {
         m_isReadingCounts = false;
         if (counts) {
@@ -180,21 +176,17 @@
     });
 }
 
-bool SideServer::hasLeaderSubscriber() const
-{
-    return std::any_of(m_subscribers.begin(), m_subscribers.end(),
-                       [](const auto &item) { return item.second.isLeader; });
-}
-
 void SideServer::onDatagram(const asio::ip::udp::endpoint &sender, const Datagram &datagram)
 {
     const auto now = m_clock.now();
     if (const auto *subscription = std::get_if<Subscription>(&datagram)) {
-        auto &subscriber = m_subscribers[sender];
-        subscriber.isLeader
+        const bool isLeader
             = !subscription->ledGroup.empty() && core::GroupId(subscription->ledGroup) == m_report.group;
-        subscriber.expiresAt = now + subscriptionTimeToLive;
-        if (subscriber.isLeader && !isLeading()) {
+        if (isLeader && !m_subscribers.hasLeader()) {
+            m_countsSchedule.leaderSubscribed(m_report.groupSize, now);
+        }
+        m_subscribers.subscribed(sender, isLeader, now);
+        if (isLeader && !isLeading()) {
             m_leadership.leaderSeen(now);
         }
         return;
@@ -212,20 +204,14 @@
 
 void SideServer::sendStatus()
 {
-    const auto now = m_clock.now();
-    std::erase_if(m_subscribers, [now](const auto &item) { return now >= item.second.expiresAt; });
     const bool hasCounts = !m_counts.empty();
-    const auto entries = static_cast<std::uint32_t>(std::count_if(
-        m_subscribers.begin(), m_subscribers.end(), [](const auto &item) { return !item.second.isLeader; }));
-    for (auto &[receiver, subscriber] : m_subscribers) {
-        if (subscriber.isLeader) {
-            m_socket.send(receiver, RankStatus{m_report, entries, m_counts, m_heldExperts});
-        } else if (now >= subscriber.nextStatus) {
-            subscriber.nextStatus = now + statusInterval;
-            m_socket.send(receiver, RankStatus{m_report, entries, {}, {}});
+    for (const auto &[receiver, status] : m_subscribers.due({m_report, 0, m_counts, m_heldExperts}, m_clock.now())) {
+        const auto bytes = m_socket.send(receiver, status);
+        if (!status.counts.empty()) {
+            m_countsSchedule.sent(bytes, m_report.groupSize);
         }
     }
-    if (hasCounts && hasLeaderSubscriber()) {
+    if (hasCounts && m_subscribers.hasLeader()) {
         m_counts.clear();
     }
 }
