--- a/packages/rankgroups/tests/groupplannertest.cpp
+++ b/packages/rankgroups/tests/groupplannertest.cpp
@@ -133,8 +133,60 @@
     core::TimePoint m_nextMapAt;
 };
 
+/// Passes a planner the counts of ranks that report at their own times. The requests of each rank choose one expert.
+class ReportedCounts
+{
+public:
+    /// The rank's requests have chosen its expert for the time `since` its last report.
+    void add(std::size_t rank, core::Duration since, core::TimePoint now)
+    {
+        const auto choices
+            = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+        for (std::size_t layer = 0; layer < layers; ++layer) {
+            m_counts[rank][layer * experts + rank] += choices * 20;
+        }
+        m_planner.countsRead(core::RankIndex(rank), m_counts[rank], now);
+    }
+
+    const GroupPlanner &planner() const { return m_planner; }
+
+private:
+    std::vector<ChoiceCounts> m_counts{ranks, ChoiceCounts(layers *experts, 0)};
+    GroupPlanner m_planner{shape(), ranks};
+};
+
 } // namespace
 
+// Guards against windows that hold the counts of some ranks only while ranks report at an interval longer than a
+// window: each window seems to be a shift of the demand.
+TEST(GroupPlannerTest, demandSettlesWhileRanksReportAtLongIntervals)
+{
+    ReportedCounts reported;
+    core::TimePoint now{1h};
+    constexpr auto interval = 400ms;
+    for (int round = 0; round < 10; ++round) {
+        for (std::size_t rank = 0; rank < ranks; ++rank) {
+            reported.add(rank, interval, now);
+            now += interval / ranks;
+        }
+    }
+    EXPECT_TRUE(reported.planner().isDemandSettled());
+}
+
+// A rank whose reports are lost must not stop the planning.
+TEST(GroupPlannerTest, demandSettlesWithoutReportsOfOneRank)
+{
+    ReportedCounts reported;
+    core::TimePoint now{1h};
+    for (int round = 0; round < 150; ++round) {
+        for (std::size_t rank = 1; rank < ranks; ++rank) {
+            reported.add(rank, 100ms, now);
+        }
+        now += 100ms;
+    }
+    EXPECT_TRUE(reported.planner().isDemandSettled());
+}
+
 // Each switch copies weights, and forward passes take longer while a rank copies.
 TEST(GroupPlannerTest, steadyDemandCausesFewFurtherSwitches)
 {
--- /dev/null
+++ b/packages/rankgroups/tests/statussubscriberstest.cpp
@@ -0,0 +1,124 @@
+#include "lycheelanding/rankgroups/statussubscribers.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace lycheelanding::rankgroups {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+asio::ip::udp::endpoint endpointOf(const char *ip)
+{
+    return {asio::ip::make_address(ip), 7340};
+}
+
+// The leader's address precedes those of the entries.
+const auto leader = endpointOf("10.1.0.2");
+const auto entry = endpointOf("10.1.0.40");
+const auto otherEntry = endpointOf("10.2.0.40");
+constexpr core::TimePoint start{1h};
+
+RankStatus statusOf(std::uint64_t generation, std::uint64_t map)
+{
+    RankStatus result;
+    result.report.state.generation = core::Generation(generation);
+    result.report.state.map = core::MapVersion(map);
+    result.heldExperts = {{1, 2}, {3, 4}};
+    return result;
+}
+
+bool hasHeldExperts(const std::vector<AddressedStatus> &statuses)
+{
+    return std::any_of(statuses.begin(), statuses.end(),
+                       [](const auto &item) { return !item.status.heldExperts.empty(); });
+}
+
+} // namespace
+
+// Guards against statuses for entries that wait behind the counts on the side's link: an entry that has no news of a VM
+// for half a second gives up its streams.
+TEST(StatusSubscribersTest, entriesAreServedBeforeLeaders)
+{
+    StatusSubscribers subscribers;
+    subscribers.subscribed(leader, true, start);
+    subscribers.subscribed(entry, false, start);
+    subscribers.subscribed(otherEntry, false, start);
+    const auto due = subscribers.due(statusOf(1, 1), start);
+    ASSERT_EQ(due.size(), 3U);
+    EXPECT_EQ(due[0].receiver, entry);
+    EXPECT_EQ(due[1].receiver, otherEntry);
+    EXPECT_EQ(due[2].receiver, leader);
+    EXPECT_EQ(due[2].status.entries, 2U);
+}
+
+// Guards against the held experts in every status, which take bandwidth of the leader's link although they change only
+// with the map.
+TEST(StatusSubscribersTest, leaderGetsHeldExpertsWhenTheyChange)
+{
+    StatusSubscribers subscribers;
+    subscribers.subscribed(leader, true, start);
+    EXPECT_TRUE(hasHeldExperts(subscribers.due(statusOf(1, 1), start)));
+    EXPECT_FALSE(hasHeldExperts(subscribers.due(statusOf(1, 1), start + 50ms)));
+    EXPECT_TRUE(hasHeldExperts(subscribers.due(statusOf(1, 2), start + 100ms)));
+    EXPECT_FALSE(hasHeldExperts(subscribers.due(statusOf(1, 2), start + 150ms)));
+    EXPECT_TRUE(hasHeldExperts(subscribers.due(statusOf(2, 2), start + 200ms)));
+}
+
+// The leader may have missed the datagram with the held experts, or may have started again.
+TEST(StatusSubscribersTest, heldExpertsAreRepeatedAtALowRate)
+{
+    StatusSubscribers subscribers;
+    int repeats = 0;
+    for (auto time = 0ms; time < 10s; time += 50ms) {
+        subscribers.subscribed(leader, true, start + time);
+        repeats += hasHeldExperts(subscribers.due(statusOf(1, 1), start + time)) ? 1 : 0;
+    }
+    EXPECT_GE(repeats, 5);
+    EXPECT_LE(repeats, 20);
+}
+
+TEST(StatusSubscribersTest, newLeaderGetsHeldExpertsAtOnce)
+{
+    StatusSubscribers subscribers;
+    subscribers.subscribed(leader, true, start);
+    subscribers.due(statusOf(1, 1), start);
+    subscribers.subscribed(endpointOf("10.3.0.2"), true, start + 50ms);
+    EXPECT_TRUE(hasHeldExperts(subscribers.due(statusOf(1, 1), start + 50ms)));
+    // An entry that becomes a leader.
+    subscribers.subscribed(entry, false, start + 100ms);
+    subscribers.due(statusOf(1, 1), start + 100ms);
+    subscribers.subscribed(entry, true, start + 150ms);
+    EXPECT_TRUE(hasHeldExperts(subscribers.due(statusOf(1, 1), start + 150ms)));
+}
+
+TEST(StatusSubscribersTest, entriesGetAStatusEvery100MillisecondsWithoutCounts)
+{
+    StatusSubscribers subscribers;
+    subscribers.subscribed(entry, false, start);
+    auto status = statusOf(1, 1);
+    status.counts = {1, 2, 3};
+    int updates = 0;
+    for (auto time = 0ms; time < 1s; time += 25ms) {
+        for (const auto &item : subscribers.due(status, start + time)) {
+            ++updates;
+            EXPECT_TRUE(item.status.counts.empty());
+            EXPECT_TRUE(item.status.heldExperts.empty());
+        }
+    }
+    EXPECT_EQ(updates, 10);
+}
+
+TEST(StatusSubscribersTest, subscriptionsExpire)
+{
+    StatusSubscribers subscribers;
+    subscribers.subscribed(leader, true, start);
+    EXPECT_TRUE(subscribers.hasLeader());
+    EXPECT_EQ(subscribers.due(statusOf(1, 1), start + 2900ms).size(), 1U);
+    EXPECT_TRUE(subscribers.due(statusOf(1, 1), start + 3s).empty());
+    EXPECT_FALSE(subscribers.hasLeader());
+}
+
+} // namespace lycheelanding::rankgroups
