RankStatus: counts and held experts as numbers of variable length

A count of four bytes takes mostly one or two now; 12 x 128 counts below 9000 take 3074 bytes instead of 6144 (RankDatagramsTest), and the held experts of 12 layers 76 at most instead of 336. Counts stay totals since the start of the rank: differences to a datagram that may be lost would need acknowledgements. CompactReader checks each claimed length against the bytes that are there. Protocol version 3; CommandOrder is unchanged.

--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -1,5 +1,7 @@
 #include "lycheelanding/rankgroups/rankdatagrams.h"
 
+#include "private/compactlists.h"
+
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
@@ -8,6 +10,7 @@
 
 #include <exception>
 #include <sstream>
+#include <utility>
 
 namespace lycheelanding::decisions::mapswitch {
 
@@ -36,7 +39,7 @@
 namespace {
 
 /// Must be increased with each change of the message layout; messages of other versions are dropped.
-constexpr std::uint16_t protocolVersion = 2;
+constexpr std::uint16_t protocolVersion = 3;
 /// Guards against foreign bytes: larger datagrams are rejected before decoding. The lengths that texts and lists claim
 /// are not checked separately.
 constexpr std::size_t maxDatagramBytes = 16UL * 1024;
@@ -56,10 +59,35 @@
     archive(subscription.ledGroup);
 }
 
+/// Counts and held experts go as CompactLists into one list of bytes, whose length is checked before it is read.
 template <typename Archive>
-void serialize(Archive &archive, RankStatus &status)
+void save(Archive &archive, const RankStatus &status)
 {
-    archive(status.report, status.entries, status.counts, status.heldExperts);
+    std::string lists;
+    appendList(lists, status.counts);
+    appendLists(lists, status.heldExperts);
+    archive(status.report, status.entries, static_cast<std::uint32_t>(lists.size()));
+    archive(cereal::binary_data(lists.data(), lists.size()));
+}
+
+template <typename Archive>
+void load(Archive &archive, RankStatus &status)
+{
+    std::uint32_t size = 0;
+    archive(status.report, status.entries, size);
+    if (size > maxDatagramBytes) {
+        throw cereal::Exception("lists longer than a datagram");
+    }
+    std::string lists(size, '\0');
+    archive(cereal::binary_data(lists.data(), lists.size()));
+    CompactReader reader(lists);
+    auto counts = reader.list();
+    auto heldExperts = counts ? reader.lists() : std::nullopt;
+    if (!heldExperts || !reader.isAtEnd()) {
+        throw cereal::Exception("invalid lists");
+    }
+    status.counts = std::move(*counts);
+    status.heldExperts = std::move(*heldExperts);
 }
 
 template <typename Archive>
