StatusSubscribers: entries first, held experts to leaders when they change

An entry that has no news of a VM for 0.5 s gives up its streams, so its status must not wait behind the counts in the send queue of the side's link. Entries get their statuses first now. Their own volume, by calculation: a status without lists takes about 150 bytes with its headers, so 8 entries take 8 x 10 x 150 = 12 kB/s (0.1 Mbit/s) of a side's link, and 64 sides 64 x 10 x 150 = 96 kB/s (0.8 Mbit/s) of an entry's link of 100 Mbit/s.

The held experts change only with the map; the leader gets them when the generation or map is another than in the last status with them, and once a second in case it missed them. The leader records to which generation and map they belong: with a lost datagram the old ones would be taken for those of the new map (GroupLeaderTest.heldExpertsOfAnEarlierMapAreNotUsed fails without that check).

--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupleader.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupleader.h
@@ -55,6 +55,9 @@
         std::string ip;
         RankReport report;
         HeldExperts heldExperts;
+        /// Generation and map to which `heldExperts` belong.
+        core::Generation heldGeneration;
+        core::MapVersion heldMap;
         core::TimePoint lastContact;
     };
 
--- a/packages/rankgroups/include/lycheelanding/rankgroups/statussubscribers.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/statussubscribers.h
@@ -35,8 +35,13 @@
         bool isLeader = false;
         core::TimePoint expiresAt;
         core::TimePoint nextStatus;
+        /// Generation and map of the held experts that were sent last, and when they are repeated.
+        std::optional<std::pair<core::Generation, core::MapVersion>> sentHeldExperts;
+        core::TimePoint nextHeldExperts;
     };
 
+    static RankStatus leaderStatus(Subscriber &leader, const RankStatus &latest, core::TimePoint now);
+
     std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
 };
 
--- a/packages/rankgroups/src/groupleader.cpp
+++ b/packages/rankgroups/src/groupleader.cpp
@@ -51,6 +51,8 @@
     member.lastContact = now;
     if (!status.heldExperts.empty()) {
         member.heldExperts = status.heldExperts;
+        member.heldGeneration = status.report.state.generation;
+        member.heldMap = status.report.state.map;
     }
     if (m_switch && (!isUnchanged || !status.report.isOpen)) {
         // Engines lose their maps, armed steps and holds when the group forms again.
@@ -91,7 +93,10 @@
     }
     ExpertMap map(m_planner->shape(), version);
     for (const auto &[rank, member] : m_members) {
-        if (member.heldExperts.size() != m_shape.layers || member.report.state.map != version) {
+        const auto &state = member.report.state;
+        const bool isOfCurrentMap
+            = state.map == version && member.heldMap == version && member.heldGeneration == state.generation;
+        if (member.heldExperts.size() != m_shape.layers || !isOfCurrentMap) {
             return std::nullopt;
         }
         for (std::size_t layer = 0; layer < member.heldExperts.size(); ++layer) {
--- a/packages/rankgroups/src/statussubscribers.cpp
+++ b/packages/rankgroups/src/statussubscribers.cpp
@@ -10,12 +10,17 @@
 /// engine finishes some requests per second.
 constexpr std::chrono::milliseconds statusInterval{100};
 constexpr std::chrono::seconds subscriptionTimeToLive{3};
+/// Interval of repeating the held experts to a leader, which may have missed them.
+constexpr std::chrono::seconds heldExpertsInterval{1};
 
 } // namespace
 
 void StatusSubscribers::subscribed(const asio::ip::udp::endpoint &subscriber, bool isLeader, core::TimePoint now)
 {
     auto &item = m_subscribers[subscriber];
+    if (item.isLeader != isLeader) {
+        item.sentHeldExperts.reset();
+    }
     item.isLeader = isLeader;
     item.expiresAt = now + subscriptionTimeToLive;
 }
@@ -33,14 +38,31 @@
         m_subscribers.begin(), m_subscribers.end(), [](const auto &item) { return !item.second.isLeader; }));
     std::vector<AddressedStatus> result;
     for (auto &[receiver, subscriber] : m_subscribers) {
-        if (subscriber.isLeader) {
-            result.push_back({receiver, {latest.report, entries, latest.counts, latest.heldExperts}});
-        } else if (now >= subscriber.nextStatus) {
+        if (!subscriber.isLeader && now >= subscriber.nextStatus) {
             subscriber.nextStatus = now + statusInterval;
             result.push_back({receiver, {latest.report, entries, {}, {}}});
         }
     }
+    // The counts for a leader take many times the bytes of a status.
+    for (auto &[receiver, subscriber] : m_subscribers) {
+        if (subscriber.isLeader) {
+            result.push_back({receiver, leaderStatus(subscriber, latest, now)});
+            result.back().status.entries = entries;
+        }
+    }
     return result;
 }
 
+RankStatus StatusSubscribers::leaderStatus(Subscriber &leader, const RankStatus &latest, core::TimePoint now)
+{
+    const auto current = std::pair(latest.report.state.generation, latest.report.state.map);
+    const bool isDue = leader.sentHeldExperts != current || now >= leader.nextHeldExperts;
+    if (latest.heldExperts.empty() || !isDue) {
+        return {latest.report, 0, latest.counts, {}};
+    }
+    leader.sentHeldExperts = current;
+    leader.nextHeldExperts = now + heldExpertsInterval;
+    return {latest.report, 0, latest.counts, latest.heldExperts};
+}
+
 } // namespace lycheelanding::rankgroups
