GroupPlanner: a window of counts ends when each rank has reported in it

Windows ended with the first report after 100 ms. With ranks that report every 400 ms at different times, a window held the counts of two of eight ranks, whose requests may choose other experts than those of the rest; each window looked like a shift of the demand. A window ends after 1.5 s without the counts of a rank, so that a rank whose reports are lost doesn't stop the planning.

--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupplanner.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupplanner.h
@@ -17,6 +17,7 @@
     GroupPlanner(const forwarding::ModelShape &shape, std::size_t ranks);
 
     /// Adds the counts of a rank, which are totals since the rank started. Decreased counts mean that it restarted.
+    /// Ranks may report at any interval: a window ends when each of them has reported in it, or after 1.5 s.
     void countsRead(core::RankIndex rank, const ChoiceCounts &counts, core::TimePoint now);
     /// The map to switch to if its benefit exceeds its cost now. A rank loads at most as many experts per layer as it
     /// has spare slots.
@@ -38,6 +39,8 @@
     /// Last counts of each rank, and its counts at the start of the current window.
     std::vector<ChoiceCounts> m_latestCounts;
     std::vector<ChoiceCounts> m_countsAtWindowStart;
+    /// By rank, whether it has reported in the current window.
+    std::vector<bool> m_isReported;
     std::optional<core::TimePoint> m_windowStartTime;
     /// By layer.
     std::vector<DemandAverage> m_demand;
--- a/packages/rankgroups/src/groupplanner.cpp
+++ b/packages/rankgroups/src/groupplanner.cpp
@@ -11,8 +11,11 @@
 
 using namespace decisions::experts;
 
-/// Duration of the windows over which counts are summed: two forward passes, with some thousand choices per layer.
+/// Minimum duration of the windows over which counts are summed: two forward passes, with some thousand choices per
+/// layer.
 constexpr std::chrono::milliseconds countWindow{100};
+/// Duration after which a window ends without the counts of some rank.
+constexpr std::chrono::milliseconds maxCountWindow{1500};
 constexpr double bitsPerByte = 8.0;
 
 MapShape mapShapeOf(const forwarding::ModelShape &model, std::size_t ranks)
@@ -72,7 +75,8 @@
 
 GroupPlanner::GroupPlanner(const forwarding::ModelShape &shape, std::size_t ranks)
     : m_model(shape), m_shape(mapShapeOf(shape, ranks)), m_planner(m_shape, plannerSettings(shape, ranks)),
-      m_latestCounts(ranks), m_countsAtWindowStart(ranks), m_demand(shape.layers, DemandAverage(shape.experts))
+      m_latestCounts(ranks), m_countsAtWindowStart(ranks), m_isReported(ranks, false),
+      m_demand(shape.layers, DemandAverage(shape.experts))
 { }
 
 void GroupPlanner::countsRead(core::RankIndex rank, const ChoiceCounts &counts, core::TimePoint now)
@@ -85,13 +89,20 @@
     const bool hasRestarted = !previous.empty()
         && !std::equal(previous.begin(), previous.end(), counts.begin(),
                        [](auto old, auto recent) { return old <= recent; });
-    if (previous.empty() || hasRestarted) {
+    const bool isFirst = previous.empty() || hasRestarted;
+    if (isFirst) {
         m_countsAtWindowStart[index] = counts;
     }
     m_latestCounts[index] = counts;
+    // The first totals of a rank tell nothing about its choices in this window.
+    m_isReported[index] = m_isReported[index] || !isFirst;
     if (!m_windowStartTime) {
         m_windowStartTime = now;
-    } else if (now - *m_windowStartTime >= countWindow) {
+        return;
+    }
+    const auto duration = now - *m_windowStartTime;
+    const bool isComplete = std::all_of(m_isReported.begin(), m_isReported.end(), [](bool is) { return is; });
+    if (duration >= maxCountWindow || (duration >= countWindow && isComplete)) {
         observeWindow(now);
     }
 }
@@ -119,6 +130,7 @@
     }
     m_planner.observe(counts);
     m_countsAtWindowStart = m_latestCounts;
+    m_isReported.assign(m_isReported.size(), false);
     m_windowStartTime = now;
 }
 
