CountsSchedule: the counts of all ranks use a quarter of the leader's link

The interval follows from the sizes of the group and of the last message and the rate of the link (Limits.LinkMbps; the VMs of sides are alike), so that all ranks together stay within the share; 100 ms is the minimum. By calculation with 3.3 kB: 0.42 s for 32 ranks and 0.86 s for 64 at 8 Mbit/s; 8 ranks at 20 Mbit/s keep 100 ms. The first read is delayed at random within the interval, and limited intervals are extended at random by up to a fifth, so that ranks don't send in phase after the leader's subscription.

--- a/packages/rankgroups/include/lycheelanding/rankgroups/countsschedule.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/countsschedule.h
@@ -8,7 +8,8 @@
 
 namespace lycheelanding::rankgroups {
 
-/// When a rank reads its counts and sends them to the leader of its group.
+/// When a rank reads its counts and sends them to the leader of its group: every 100 ms, or at the interval at which
+/// the counts of all ranks together use a quarter of the leader's link. Ranks do not send in phase.
 class CountsSchedule
 {
 public:
@@ -23,8 +24,14 @@
     void sent(std::size_t messageBytes, std::size_t groupSize);
 
 private:
+    /// Minimum interval at the last known sizes of the group and the message.
+    core::Duration interval() const;
+    void scheduleNext();
+
     const double m_linkBitsPerSecond;
     core::RandomSequence m_random;
+    std::size_t m_groupSize = 0;
+    std::size_t m_messageBytes = 0;
     core::TimePoint m_lastRead;
     core::TimePoint m_next;
 };
--- a/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
@@ -68,7 +68,7 @@
     std::uint16_t datagramPort = 0;
     core::ServiceId service;
     asio::ip::tcp::endpoint engine;
-    /// Rate of the VM's link, which the VMs of all sides share; 0 if unknown.
+    /// Rate of the VM's link, which the VMs of all sides have alike; 0 if unknown.
     double linkBitsPerSecond = 0.0;
 };
 
