CountsSchedule: half of the leader's link instead of a quarter

With a quarter, a shift of the demand was followed by a switch up to a second later, since a window needs the counts of each rank.

--- a/packages/rankgroups/include/lycheelanding/rankgroups/countsschedule.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/countsschedule.h
@@ -9,7 +9,7 @@
 namespace lycheelanding::rankgroups {
 
 /// When a rank reads its counts and sends them to the leader of its group: every 100 ms, or at the interval at which
-/// the counts of all ranks together use a quarter of the leader's link. Ranks do not send in phase.
+/// the counts of all ranks together use half of the leader's link. Ranks do not send in phase.
 class CountsSchedule
 {
 public:
--- a/packages/rankgroups/src/countsschedule.cpp
+++ b/packages/rankgroups/src/countsschedule.cpp
@@ -10,7 +10,7 @@
 constexpr std::chrono::milliseconds minInterval{100};
 /// Share of the leader's link that the counts of all ranks may use together; the rest is for the ranks' states, for
 /// commands and their answers, and for the traffic of the engine.
-constexpr double maxLinkShare = 0.25;
+constexpr double maxLinkShare = 0.5;
 /// Size that is assumed before the first message is sent.
 constexpr std::size_t assumedMessageBytes = 4096;
 /// Headers of the fragments of a datagram of some thousand bytes.
@@ -18,7 +18,7 @@
 constexpr double bitsPerByte = 8.0;
 /// A limited interval is extended by a random fraction up to this one, so that ranks that happen to send at the same
 /// time do so only once.
-constexpr double maxExtension = 0.2;
+constexpr double maxExtension = 0.1;
 
 } // namespace
 
