--- a/packages/rankgroups/include/lycheelanding/rankgroups/statussubscribers.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/statussubscribers.h
@@ -5,6 +5,7 @@
 
 #include <asio/ip/udp.hpp>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <utility>
@@ -12,6 +13,14 @@
 
 namespace lycheelanding::rankgroups {
 
+enum class SubscriberKind : std::uint8_t {
+    Entry,
+    /// Leader of the side's group.
+    Leader,
+    /// Leader of another group, which must learn that the side's rank is not in its group.
+    OtherLeader,
+};
+
 struct AddressedStatus
 {
     asio::ip::udp::endpoint receiver;
@@ -22,7 +31,7 @@
 class StatusSubscribers
 {
 public:
-    void subscribed(const asio::ip::udp::endpoint &subscriber, bool isLeader, core::TimePoint now);
+    void subscribed(const asio::ip::udp::endpoint &subscriber, SubscriberKind kind, core::TimePoint now);
     /// Whether the leader of the side's group subscribes.
     bool hasLeader() const;
     /// The status updates to send now, in this order. Ends subscriptions that have expired. `latest` has the report,
@@ -32,7 +41,7 @@
 private:
     struct Subscriber
     {
-        bool isLeader = false;
+        SubscriberKind kind = SubscriberKind::Entry;
         core::TimePoint expiresAt;
         core::TimePoint nextStatus;
         /// Generation and map of the held experts that were sent last, and when they are repeated.
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -185,7 +185,8 @@
         if (isLeader && !m_subscribers.hasLeader()) {
             m_countsSchedule.leaderSubscribed(m_report.groupSize, now);
         }
-        m_subscribers.subscribed(sender, isLeader, now);
+        const auto otherKind = subscription->ledGroup.empty() ? SubscriberKind::Entry : SubscriberKind::OtherLeader;
+        m_subscribers.subscribed(sender, isLeader ? SubscriberKind::Leader : otherKind, now);
         if (isLeader && !isLeading()) {
             m_leadership.leaderSeen(now);
         }
--- a/packages/rankgroups/src/statussubscribers.cpp
+++ b/packages/rankgroups/src/statussubscribers.cpp
@@ -15,37 +15,39 @@
 
 } // namespace
 
-void StatusSubscribers::subscribed(const asio::ip::udp::endpoint &subscriber, bool isLeader, core::TimePoint now)
+void StatusSubscribers::subscribed(const asio::ip::udp::endpoint &subscriber, SubscriberKind kind, core::TimePoint now)
 {
     auto &item = m_subscribers[subscriber];
-    if (item.isLeader != isLeader) {
+    if (item.kind != kind) {
         item.sentHeldExperts.reset();
     }
-    item.isLeader = isLeader;
+    item.kind = kind;
     item.expiresAt = now + subscriptionTimeToLive;
 }
 
 bool StatusSubscribers::hasLeader() const
 {
     return std::any_of(m_subscribers.begin(), m_subscribers.end(),
-                       [](const auto &item) { return item.second.isLeader; });
+                       [](const auto &item) { return item.second.kind == SubscriberKind::Leader; });
 }
 
 std::vector<AddressedStatus> StatusSubscribers::due(const RankStatus &latest, core::TimePoint now)
 {
     std::erase_if(m_subscribers, [now](const auto &item) { return now >= item.second.expiresAt; });
-    const auto entries = static_cast<std::uint32_t>(std::count_if(
-        m_subscribers.begin(), m_subscribers.end(), [](const auto &item) { return !item.second.isLeader; }));
+    const auto entries
+        = static_cast<std::uint32_t>(std::count_if(m_subscribers.begin(), m_subscribers.end(), [](const auto &item) {
+              return item.second.kind != SubscriberKind::Leader;
+          }));
     std::vector<AddressedStatus> result;
     for (auto &[receiver, subscriber] : m_subscribers) {
-        if (!subscriber.isLeader && now >= subscriber.nextStatus) {
+        if (subscriber.kind != SubscriberKind::Leader && now >= subscriber.nextStatus) {
             subscriber.nextStatus = now + statusInterval;
             result.push_back({receiver, {latest.report, entries, {}, {}}});
         }
     }
     // The counts for a leader take many times the bytes of a status.
     for (auto &[receiver, subscriber] : m_subscribers) {
-        if (subscriber.isLeader) {
+        if (subscriber.kind == SubscriberKind::Leader) {
             result.push_back({receiver, leaderStatus(subscriber, latest, now)});
             result.back().status.entries = entries;
         }
--- a/packages/rankgroups/tests/statussubscriberstest.cpp
+++ b/packages/rankgroups/tests/statussubscriberstest.cpp
@@ -43,9 +43,9 @@
 TEST(StatusSubscribersTest, entriesAreServedBeforeLeaders)
 {
     StatusSubscribers subscribers;
-    subscribers.subscribed(leader, true, start);
-    subscribers.subscribed(entry, false, start);
-    subscribers.subscribed(otherEntry, false, start);
+    subscribers.subscribed(leader, SubscriberKind::Leader, start);
+    subscribers.subscribed(entry, SubscriberKind::Entry, start);
+    subscribers.subscribed(otherEntry, SubscriberKind::Entry, start);
     const auto due = subscribers.due(statusOf(1, 1), start);
     ASSERT_EQ(due.size(), 3U);
     EXPECT_EQ(due[0].receiver, entry);
@@ -59,7 +59,7 @@
 TEST(StatusSubscribersTest, leaderGetsHeldExpertsWhenTheyChange)
 {
     StatusSubscribers subscribers;
-    subscribers.subscribed(leader, true, start);
+    subscribers.subscribed(leader, SubscriberKind::Leader, start);
     EXPECT_TRUE(hasHeldExperts(subscribers.due(statusOf(1, 1), start)));
     EXPECT_FALSE(hasHeldExperts(subscribers.due(statusOf(1, 1), start + 50ms)));
     EXPECT_TRUE(hasHeldExperts(subscribers.due(statusOf(1, 2), start + 100ms)));
@@ -73,7 +73,7 @@
     StatusSubscribers subscribers;
     int repeats = 0;
     for (auto time = 0ms; time < 10s; time += 50ms) {
-        subscribers.subscribed(leader, true, start + time);
+        subscribers.subscribed(leader, SubscriberKind::Leader, start + time);
         repeats += hasHeldExperts(subscribers.due(statusOf(1, 1), start + time)) ? 1 : 0;
     }
     EXPECT_GE(repeats, 5);
@@ -83,21 +83,21 @@
 TEST(StatusSubscribersTest, newLeaderGetsHeldExpertsAtOnce)
 {
     StatusSubscribers subscribers;
-    subscribers.subscribed(leader, true, start);
+    subscribers.subscribed(leader, SubscriberKind::Leader, start);
     subscribers.due(statusOf(1, 1), start);
-    subscribers.subscribed(endpointOf("10.3.0.2"), true, start + 50ms);
+    subscribers.subscribed(endpointOf("10.3.0.2"), SubscriberKind::Leader, start + 50ms);
     EXPECT_TRUE(hasHeldExperts(subscribers.due(statusOf(1, 1), start + 50ms)));
     // An entry that becomes a leader.
-    subscribers.subscribed(entry, false, start + 100ms);
+    subscribers.subscribed(entry, SubscriberKind::Entry, start + 100ms);
     subscribers.due(statusOf(1, 1), start + 100ms);
-    subscribers.subscribed(entry, true, start + 150ms);
+    subscribers.subscribed(entry, SubscriberKind::Leader, start + 150ms);
     EXPECT_TRUE(hasHeldExperts(subscribers.due(statusOf(1, 1), start + 150ms)));
 }
 
 TEST(StatusSubscribersTest, entriesGetAStatusEvery100MillisecondsWithoutCounts)
 {
     StatusSubscribers subscribers;
-    subscribers.subscribed(entry, false, start);
+    subscribers.subscribed(entry, SubscriberKind::Entry, start);
     auto status = statusOf(1, 1);
     status.counts = {1, 2, 3};
     int updates = 0;
@@ -111,10 +111,29 @@
     EXPECT_EQ(updates, 10);
 }
 
+// Guards against leaders of other groups that count as entries: an entry estimates the requests that the other entries
+// send from the number of entries.
+TEST(StatusSubscribersTest, leaderOfAnotherGroupIsNoEntry)
+{
+    StatusSubscribers subscribers;
+    subscribers.subscribed(entry, SubscriberKind::Entry, start);
+    subscribers.subscribed(otherEntry, SubscriberKind::OtherLeader, start);
+    EXPECT_FALSE(subscribers.hasLeader());
+    auto status = statusOf(1, 1);
+    status.counts = {1, 2, 3};
+    const auto due = subscribers.due(status, start);
+    ASSERT_EQ(due.size(), 2U);
+    for (const auto &item : due) {
+        EXPECT_EQ(item.status.entries, 1U);
+        EXPECT_TRUE(item.status.counts.empty());
+        EXPECT_TRUE(item.status.heldExperts.empty());
+    }
+}
+
 TEST(StatusSubscribersTest, subscriptionsExpire)
 {
     StatusSubscribers subscribers;
-    subscribers.subscribed(leader, true, start);
+    subscribers.subscribed(leader, SubscriberKind::Leader, start);
     EXPECT_TRUE(subscribers.hasLeader());
     EXPECT_EQ(subscribers.due(statusOf(1, 1), start + 2900ms).size(), 1U);
     EXPECT_TRUE(subscribers.due(statusOf(1, 1), start + 3s).empty());
