StatusSubscribers: only entries count as entries

Leaders of other groups still get statuses without lists, from which they learn that a rank is not in their group; no status from a VM for 0.4 s would make them read its engine.

StatusSubscribersTest.leaderOfAnotherGroupIsNoEntry failed before.

--- a/packages/rankgroups/src/statussubscribers.cpp
+++ b/packages/rankgroups/src/statussubscribers.cpp
@@ -36,7 +36,7 @@
     std::erase_if(m_subscribers, [now](const auto &item) { return now >= item.second.expiresAt; });
     const auto entries
         = static_cast<std::uint32_t>(std::count_if(m_subscribers.begin(), m_subscribers.end(), [](const auto &item) {
-              return item.second.kind != SubscriberKind::Leader;
+              return item.second.kind == SubscriberKind::Entry;
           }));
     std::vector<AddressedStatus> result;
     for (auto &[receiver, subscriber] : m_subscribers) {
