--- /dev/null
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/statussubscribers.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "lycheelanding/core/clock.h"
+#include "lycheelanding/rankgroups/rankdatagrams.h"
+
+#include <asio/ip/udp.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace lycheelanding::rankgroups {
+
+enum class SubscriberKind : std::uint8_t {
+    Entry,
+    /// Leader of the side's group.
+    Leader,
+    /// Leader of another group, which must learn that the side's rank is not in its group.
+    OtherLeader,
+};
+
+struct AddressedStatus
+{
+    asio::ip::udp::endpoint receiver;
+    RankStatus status;
+};
+
+/// The entries and leaders that subscribe to a side, and the status updates that are due to them.
+class StatusSubscribers
+{
+public:
+    void subscribed(const asio::ip::udp::endpoint &subscriber, SubscriberKind kind, core::TimePoint now);
+    /// Whether the leader of the side's group subscribes.
+    bool hasLeader() const;
+    /// The status updates to send now, in this order. Ends subscriptions that have expired. `latest` has the report,
+    /// the counts if they were read since the last call, and the experts that the rank holds in the report's map.
+    std::vector<AddressedStatus> due(const RankStatus &latest, core::TimePoint now);
+
+private:
+    struct Subscriber
+    {
+        SubscriberKind kind = SubscriberKind::Entry;
+        core::TimePoint expiresAt;
+        core::TimePoint nextStatus;
+        /// Generation and map of the held experts that were sent last, and when they are repeated.
+        std::optional<std::pair<core::Generation, core::MapVersion>> sentHeldExperts;
+        core::TimePoint nextHeldExperts;
+    };
+
+    static RankStatus leaderStatus(Subscriber &leader, const RankStatus &latest, core::TimePoint now);
+
+    std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
+};
+
+} // namespace lycheelanding::rankgroups
