Compact expert maps in command datagrams (protocol version 3)

What callers saw: late answers, since no group of 32 ranks ever got a better map. Cause, first part: a prepare carries the whole map in four bytes per expert and eight per list, 11 KB for 32 ranks; a map of 64 ranks and 60 layers didn't fit into a datagram at all. Lengths and indices now take a byte each up to 127; the limit of a datagram is 32 KB, so that five places in 64 ranks and 60 layers fit.

--- a/packages/rankgroups/include/lycheelanding/rankgroups/datagramsocket.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/datagramsocket.h
@@ -31,7 +31,7 @@
     asio::ip::udp::socket m_socket;
     const Handler m_onDatagram;
     asio::ip::udp::endpoint m_sender;
-    std::array<char, 16384> m_buffer{};
+    std::array<char, maxDatagramBytes> m_buffer{};
 };
 
 } // namespace lycheelanding::rankgroups
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
@@ -2,6 +2,7 @@
 
 #include "lycheelanding/rankgroups/rankreport.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -46,6 +47,10 @@
 
 using Datagram = std::variant<Subscription, RankStatus, CommandOrder, CommandReply>;
 
+/// Guards against foreign bytes: larger datagrams are rejected before decoding. Except for the experts of a command,
+/// the lengths that texts and lists claim are not checked separately.
+constexpr std::size_t maxDatagramBytes = 32UL * 1024;
+
 std::string encodeDatagram(const Datagram &datagram);
 /// Empty if the bytes are not a valid message of this protocol version.
 std::optional<Datagram> decodeDatagram(std::string_view bytes);
--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -1,5 +1,7 @@
 #include "lycheelanding/rankgroups/rankdatagrams.h"
 
+#include "lycheelanding/rankgroups/expertlists.h"
+
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
@@ -8,6 +10,7 @@
 
 #include <exception>
 #include <sstream>
+#include <utility>
 
 namespace lycheelanding::decisions::mapswitch {
 
@@ -36,10 +39,7 @@
 namespace {
 
 /// Must be increased with each change of the message layout; messages of other versions are dropped.
-constexpr std::uint16_t protocolVersion = 2;
-/// Guards against foreign bytes: larger datagrams are rejected before decoding. The lengths that texts and lists claim
-/// are not checked separately.
-constexpr std::size_t maxDatagramBytes = 16UL * 1024;
+constexpr std::uint16_t protocolVersion = 3;
 
 } // namespace
 
@@ -63,9 +63,29 @@
 }
 
 template <typename Archive>
-void serialize(Archive &archive, EngineCommandRequest &command)
+void save(Archive &archive, const EngineCommandRequest &command)
 {
-    archive(command.command, command.fencingToken, command.experts);
+    const auto experts = packExperts(command.experts);
+    archive(command.command, command.fencingToken,
+            cereal::make_size_tag(static_cast<cereal::size_type>(experts.size())),
+            cereal::binary_data(experts.data(), experts.size()));
+}
+
+template <typename Archive>
+void load(Archive &archive, EngineCommandRequest &command)
+{
+    cereal::size_type size = 0;
+    archive(command.command, command.fencingToken, cereal::make_size_tag(size));
+    if (size > maxDatagramBytes) {
+        throw cereal::Exception("the experts are longer than a datagram");
+    }
+    std::string bytes(size, '\0');
+    archive(cereal::binary_data(bytes.data(), bytes.size()));
+    auto experts = unpackExperts(bytes);
+    if (!experts) {
+        throw cereal::Exception("the experts are incomplete");
+    }
+    command.experts = std::move(*experts);
 }
 
 template <typename Archive>
