Prepares of all ranks share a window of unanswered bytes

Cause, second part: a leader sent the prepares of all ranks at once and repeated each after 30 ms, whether or not the earlier copy had left its link. The class: retries without backpressure starve the control path. On 8 Mbit/s the lease renewals waited behind the copies, the leader lost its lease, and the next one began the same switch.

Now CommandWindow holds the unanswered bytes of prepares below what the link (Limits.LinkMbps) passes in 10 ms; the next rank's prepare goes out when an earlier one is answered, withdrawn or times out. Other commands aren't held back. The timeout of a prepare includes the time that the window takes on both links. A repeat waits in the window like a first send, so repeats take at most a fifth of the link whatever the losses. An exponential backoff of prepares was tried and dropped: with every second command lost a switch took longer than the second that switchWithLostCommandsIsActiveWithinASecond demands. The leader bypasses a side only after three unanswered commands, in addition to 160 ms, since sends may now lie further apart.

--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
@@ -72,6 +72,12 @@
     std::uint64_t number = 0;
     EngineCommand command;
 };
+/// The command is large: it is sent once the caller calls windowOpened(). This also ends the wait for the answer to an
+/// earlier send of it.
+struct AwaitWindow
+{
+    EngineCommand command;
+};
 // Results that are passed to the RankGate.
 struct MapStaged
 {
@@ -98,8 +104,8 @@
 /// The engine has seen the leader's fencing token and no longer accepts commands of earlier leaders.
 struct FencingTokenInstalled
 { };
-using RankCommandAction = std::variant<SendCommand, MapStaged, MapStageFailed, StepHeld, HoldRefused, StateMismatch,
-                                       CommandFenced, FencingTokenInstalled>;
+using RankCommandAction = std::variant<SendCommand, AwaitWindow, MapStaged, MapStageFailed, StepHeld, HoldRefused,
+                                       StateMismatch, CommandFenced, FencingTokenInstalled>;
 using RankCommandActions = std::vector<RankCommandAction>;
 
 struct RankCommandSettings
@@ -112,7 +118,7 @@
 
 /// Sends the commands of one RankGate to an engine, one at a time. An unanswered command is sent again until it is
 /// answered, because the engine may execute it late: commands are idempotent, and the engine refuses a late one once
-/// the step has begun.
+/// the step has begun. A Prepare carries a whole map, so each send of it waits for the caller's window.
 class RankCommands
 {
 public:
@@ -129,12 +135,20 @@
     /// `state` was read after the engine answered all commands that have an answer.
     RankCommandActions stateRead(const RankState &state, core::TimePoint now);
     RankCommandActions tick(core::TimePoint now);
+    /// The command that waits for the window may be sent. `transferTime` is what its transfer takes at most; it is
+    /// added to the time for the answer.
+    RankCommandActions windowOpened(core::Duration transferTime, core::TimePoint now);
 
     /// Commands so far that the engine has not answered within `lostAfter`.
     std::uint64_t lostCommands() const { return m_lostCommands; }
+    /// Whether a large command waits for the window or for its answer.
+    bool usesWindow() const { return !m_queue.empty() && isLarge(m_queue.front()); }
     bool isIdle() const { return m_queue.empty() && !m_preparing; }
 
 private:
+    static bool isLarge(const EngineCommand &command) { return command.kind == CommandKind::Prepare; }
+    core::Duration repeatTimeout() const;
+    void awaitWindow(RankCommandActions &actions);
     void add(const EngineCommand &command, core::TimePoint now, RankCommandActions &actions);
     void sendFirst(core::TimePoint now, RankCommandActions &actions);
     void transmitFirst(core::TimePoint now, RankCommandActions &actions);
@@ -150,6 +164,10 @@
     std::uint64_t m_lostCommands = 0;
     core::TimePoint m_firstSentAt;
     core::TimePoint m_lastSentAt;
+    core::Duration m_transferTime{0};
+    /// The command at the front has been sent.
+    bool m_isSent = false;
+    bool m_isAwaitingWindow = false;
     /// The command at the front is counted as lost.
     bool m_isLost = false;
     /// The command at the front was refused, possibly because an earlier send of it was executed; the next stateRead()
--- a/packages/decisions/src/mapswitch/rankcommands.cpp
+++ b/packages/decisions/src/mapswitch/rankcommands.cpp
@@ -184,15 +184,45 @@
 RankCommandActions RankCommands::tick(core::TimePoint now)
 {
     RankCommandActions actions;
-    if (!m_queue.empty() && !m_isOutcomeUnknown && now - m_lastSentAt >= m_settings.answerTimeout) {
-        if (now - m_firstSentAt >= m_settings.lostAfter && !std::exchange(m_isLost, true)) {
-            ++m_lostCommands;
-        }
+    if (m_queue.empty() || m_isAwaitingWindow || m_isOutcomeUnknown || now - m_lastSentAt < repeatTimeout()) {
+        return actions;
+    }
+    if (now - m_firstSentAt >= m_settings.lostAfter && !std::exchange(m_isLost, true)) {
+        ++m_lostCommands;
+    }
+    if (usesWindow()) {
+        awaitWindow(actions);
+    } else {
         transmitFirst(now, actions);
     }
     return actions;
 }
 
+RankCommandActions RankCommands::windowOpened(core::Duration transferTime, core::TimePoint now)
+{
+    RankCommandActions actions;
+    if (!std::exchange(m_isAwaitingWindow, false) || !usesWindow()) {
+        return actions;
+    }
+    m_transferTime = transferTime;
+    if (!m_isSent) {
+        m_firstSentAt = now;
+    }
+    transmitFirst(now, actions);
+    return actions;
+}
+
+core::Duration RankCommands::repeatTimeout() const
+{
+    return usesWindow() ? m_settings.answerTimeout + m_transferTime : m_settings.answerTimeout;
+}
+
+void RankCommands::awaitWindow(RankCommandActions &actions)
+{
+    m_isAwaitingWindow = true;
+    actions.emplace_back(AwaitWindow{m_queue.front()});
+}
+
 void RankCommands::add(const EngineCommand &command, core::TimePoint now, RankCommandActions &actions)
 {
     m_queue.push_back(command);
@@ -203,18 +233,25 @@
 
 void RankCommands::sendFirst(core::TimePoint now, RankCommandActions &actions)
 {
+    m_isAwaitingWindow = false;
+    m_isSent = false;
     if (m_queue.empty()) {
         return;
     }
     m_firstSendNumber = m_lastSendNumber + 1;
     m_firstSentAt = now;
     m_isLost = false;
-    transmitFirst(now, actions);
+    if (usesWindow()) {
+        awaitWindow(actions);
+    } else {
+        transmitFirst(now, actions);
+    }
 }
 
 void RankCommands::transmitFirst(core::TimePoint now, RankCommandActions &actions)
 {
     m_isOutcomeUnknown = false;
+    m_isSent = true;
     m_lastSentAt = now;
     actions.emplace_back(SendCommand{++m_lastSendNumber, m_queue.front()});
 }
--- a/packages/decisions/tests/mapswitch/rankcommandstest.cpp
+++ b/packages/decisions/tests/mapswitch/rankcommandstest.cpp
@@ -9,7 +9,9 @@
 using namespace std::chrono_literals;
 
 constexpr core::TimePoint start(1h);
-const HoldAt hold{{core::Generation(1), core::Incarnation(7), SessionNumber(1), FencingToken(1)}, core::StepNumber(9)};
+const OrderStamp stamp{core::Generation(1), core::Incarnation(7), SessionNumber(1), FencingToken(1)};
+const HoldAt hold{stamp, core::StepNumber(9)};
+const StageMap stage{stamp, core::MapVersion(5)};
 
 std::uint64_t sentNumber(const RankCommandActions &actions)
 {
@@ -17,6 +19,12 @@
     return std::get<SendCommand>(actions.front()).number;
 }
 
+/// Whether the actions are a single AwaitWindow.
+bool awaitsWindow(const RankCommandActions &actions)
+{
+    return actions.size() == 1 && std::holds_alternative<AwaitWindow>(actions.front());
+}
+
 } // namespace
 
 TEST(RankCommandsTest, unansweredCommandIsSentAgain)
@@ -66,4 +74,42 @@
     EXPECT_FALSE(commands.isIdle());
 }
 
+// Prepares of all ranks were sent at once and repeated while earlier copies were still queued on the leader's link.
+TEST(RankCommandsTest, prepareIsSentAndRepeatedOnlyWithinTheWindow)
+{
+    constexpr auto transferTime = 20ms;
+    RankCommands commands{RankCommandSettings()};
+    EXPECT_TRUE(awaitsWindow(commands.execute(stage, start)));
+    EXPECT_TRUE(commands.usesWindow());
+    EXPECT_TRUE(commands.tick(start + 1s).empty());
+    const auto sentAt = start + 2s;
+    sentNumber(commands.windowOpened(transferTime, sentAt));
+    EXPECT_TRUE(commands.windowOpened(transferTime, sentAt).empty());
+    const auto timeout = RankCommandSettings().answerTimeout + transferTime;
+    EXPECT_TRUE(commands.tick(sentAt + timeout - 1ms).empty());
+    EXPECT_TRUE(awaitsWindow(commands.tick(sentAt + timeout)));
+    EXPECT_TRUE(commands.tick(sentAt + 1s).empty());
+    sentNumber(commands.windowOpened(transferTime, sentAt + 1s));
+}
+
+TEST(RankCommandsTest, lateAnswerEndsTheWaitForTheWindow)
+{
+    RankCommands commands{RankCommandSettings()};
+    commands.execute(stage, start);
+    const auto sent = sentNumber(commands.windowOpened(0ms, start));
+    EXPECT_TRUE(awaitsWindow(commands.tick(start + 50ms)));
+    EXPECT_TRUE(commands.answered(sent, CommandAnswer::Done, start + 60ms).empty());
+    EXPECT_FALSE(commands.usesWindow());
+    EXPECT_TRUE(commands.windowOpened(0ms, start + 70ms).empty());
+}
+
+TEST(RankCommandsTest, timeInTheQueueOfTheWindowIsNoLoss)
+{
+    RankCommands commands{RankCommandSettings()};
+    commands.execute(stage, start);
+    sentNumber(commands.windowOpened(0ms, start + 1s));
+    commands.tick(start + 1s + RankCommandSettings().answerTimeout);
+    EXPECT_EQ(commands.lostCommands(), 0U);
+}
+
 } // namespace lycheelanding::decisions::mapswitch
--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupleader.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupleader.h
@@ -36,7 +36,7 @@
 {
 public:
     GroupLeader(core::GroupId group, decisions::mapswitch::FencingToken fencingToken,
-                const forwarding::ModelShape &shape);
+                const forwarding::ModelShape &shape, const CommandLink &link);
 
     LeaderActions statusReceived(const std::string &ip, const RankStatus &status, core::TimePoint now);
     LeaderActions answered(const std::string &ip, std::uint64_t number, decisions::mapswitch::CommandAnswer answer,
@@ -66,6 +66,7 @@
     const core::GroupId m_group;
     const decisions::mapswitch::FencingToken m_fencingToken;
     const forwarding::ModelShape m_shape;
+    const CommandLink m_link;
     /// By rank.
     std::map<core::RankIndex, Member> m_members;
     std::optional<GroupPlanner> m_planner;
--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "lycheelanding/decisions/experts/expertmap.h"
+#include "lycheelanding/decisions/mapswitch/commandwindow.h"
 #include "lycheelanding/decisions/mapswitch/rankcommands.h"
 #include "lycheelanding/decisions/mapswitch/rankgate.h"
 #include "lycheelanding/decisions/mapswitch/switchcoordinator.h"
 #include "lycheelanding/rankgroups/rankreport.h"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -34,13 +37,25 @@
 using GroupSwitchAction = std::variant<CommandRank, GroupSwitchFinished, LeaderFenced>;
 using GroupSwitchActions = std::vector<GroupSwitchAction>;
 
+/// The sending direction of the leader's link.
+struct CommandLink
+{
+    double bytesPerSecond = 1e6;
+    /// How long other messages may wait for the leader's prepares, unless a single prepare takes longer.
+    core::Duration maxDelay = std::chrono::milliseconds(10);
+
+    core::Duration timeFor(std::size_t bytes) const;
+    /// Bytes of prepares that may be unanswered at the same time.
+    std::size_t windowBytes() const;
+};
+
 /// Performs the map switches of one group in one generation for the leader: one coordinator, and for each rank a gate
 /// and the commands to its engine. A new leader creates a new GroupSwitch from the states that the engines report.
 class GroupSwitch
 {
 public:
     GroupSwitch(decisions::mapswitch::FencingToken fencingToken,
-                const std::vector<decisions::mapswitch::RankState> &ranks);
+                const std::vector<decisions::mapswitch::RankState> &ranks, const CommandLink &link = {});
 
     /// Installs the leader's fencing token at every engine. The session of a rank starts with a state that was read
     /// after the installation, so that the state includes everything an earlier leader has done and no later command of
@@ -79,13 +94,16 @@
                  GroupSwitchActions &actions);
     void execute(std::size_t rank, const decisions::mapswitch::RankCommandActions &commandActions, core::TimePoint now,
                  GroupSwitchActions &actions);
+    void sendWithinWindow(core::TimePoint now, GroupSwitchActions &actions);
     EngineCommandRequest requestFor(const decisions::mapswitch::EngineCommand &command) const;
     bool needsNewSession(const Rank &rank) const;
     void recordLostCommands(core::TimePoint now);
 
     const decisions::mapswitch::FencingToken m_fencingToken;
+    const CommandLink m_link;
     core::Generation m_generation;
     std::vector<Rank> m_ranks;
+    decisions::mapswitch::CommandWindow m_window;
     /// The latest step that any rank has reported.
     core::StepNumber m_latestStep;
     decisions::mapswitch::SwitchCoordinator m_coordinator;
--- a/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
@@ -66,6 +66,8 @@
     std::uint16_t datagramPort = 0;
     core::ServiceId service;
     asio::ip::tcp::endpoint engine;
+    /// Of the VM's link.
+    CommandLink link = {};
 };
 
 /// A side: reads the state of the engine on its VM, sends status updates to entries and leaders, and leads its group
@@ -150,8 +152,13 @@
     std::map<std::string, asio::ip::tcp::endpoint> m_engines;
     /// Time of the last status update of each side or direct read of its engine, by the IP address of the VM.
     std::map<std::string, core::TimePoint> m_lastContact;
-    /// Time of the first command to which a side has not replied yet, by the IP address of its VM.
-    std::map<std::string, core::TimePoint> m_unansweredSince;
+    struct UnansweredCommands
+    {
+        core::TimePoint since;
+        int sends = 0;
+    };
+    /// Commands to which a side has not replied yet, by the IP address of its VM.
+    std::map<std::string, UnansweredCommands> m_unanswered;
     forwarding::SuspensionDetector m_suspension;
     core::TimePoint m_nextBackendsRead;
     core::TimePoint m_nextSubscribe;
--- a/packages/rankgroups/src/groupleader.cpp
+++ b/packages/rankgroups/src/groupleader.cpp
@@ -18,8 +18,9 @@
 
 } // namespace
 
-GroupLeader::GroupLeader(core::GroupId group, FencingToken fencingToken, const forwarding::ModelShape &shape)
-    : m_group(std::move(group)), m_fencingToken(fencingToken), m_shape(shape)
+GroupLeader::GroupLeader(core::GroupId group, FencingToken fencingToken, const forwarding::ModelShape &shape,
+                         const CommandLink &link)
+    : m_group(std::move(group)), m_fencingToken(fencingToken), m_shape(shape), m_link(link)
 { }
 
 bool GroupLeader::isGroupReady(core::TimePoint now) const
@@ -79,7 +80,7 @@
         states.push_back(member.report.state);
     }
     m_planner.emplace(m_shape, states.size());
-    m_switch = std::make_unique<GroupSwitch>(m_fencingToken, states);
+    m_switch = std::make_unique<GroupSwitch>(m_fencingToken, states, m_link);
     appendActions(m_switch->start(now), actions);
 }
 
--- a/packages/rankgroups/src/groupswitch.cpp
+++ b/packages/rankgroups/src/groupswitch.cpp
@@ -1,5 +1,7 @@
 #include "lycheelanding/rankgroups/groupswitch.h"
 
+#include "lycheelanding/rankgroups/expertlists.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -25,6 +27,9 @@
 /// Time after an unanswered command during which further losses are expected.
 constexpr std::chrono::seconds commandLossWindow{5};
 
+/// Size of a command's datagram without the experts, with the headers of IP and UDP.
+constexpr std::size_t otherDatagramBytes = 128;
+
 SwitchSettings switchSettings()
 {
     SwitchSettings settings;
@@ -60,8 +65,19 @@
     return result;
 }
 
-GroupSwitch::GroupSwitch(FencingToken fencingToken, const std::vector<RankState> &ranks)
-    : m_fencingToken(fencingToken), m_generation(ranks.front().generation),
+core::Duration CommandLink::timeFor(std::size_t bytes) const
+{
+    return std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double>(static_cast<double>(bytes) / bytesPerSecond));
+}
+
+std::size_t CommandLink::windowBytes() const
+{
+    return static_cast<std::size_t>(bytesPerSecond * std::chrono::duration<double>(maxDelay).count());
+}
+
+GroupSwitch::GroupSwitch(FencingToken fencingToken, const std::vector<RankState> &ranks, const CommandLink &link)
+    : m_fencingToken(fencingToken), m_link(link), m_generation(ranks.front().generation), m_window(link.windowBytes()),
       m_coordinator(switchSettings(), core::Incarnation(fencingToken.number()), ranks.size(), core::MapVersion())
 {
     for (std::size_t index = 0; index < ranks.size(); ++index) {
@@ -241,6 +257,8 @@
     for (const auto &action : commandActions) {
         if (const auto *send = std::get_if<SendCommand>(&action)) {
             actions.emplace_back(CommandRank{core::RankIndex(rank), send->number, requestFor(send->command)});
+        } else if (const auto *waiting = std::get_if<AwaitWindow>(&action)) {
+            m_window.add(rank, packedSize(requestFor(waiting->command).experts) + otherDatagramBytes);
         } else if (const auto *staged = std::get_if<MapStaged>(&action)) {
             execute(rank, gate.engineStaged(staged->map), now, actions);
         } else if (const auto *failed = std::get_if<MapStageFailed>(&action)) {
@@ -257,6 +275,19 @@
             actions.emplace_back(LeaderFenced{});
         }
     }
+    if (!m_ranks[rank].commands.usesWindow()) {
+        m_window.remove(rank);
+    }
+    sendWithinWindow(now, actions);
+}
+
+void GroupSwitch::sendWithinWindow(core::TimePoint now, GroupSwitchActions &actions)
+{
+    while (const auto next = m_window.takeNext()) {
+        // On its way a prepare waits at most for all that the window holds, and passes the link of the other VM.
+        const auto transferTime = 2 * m_link.timeFor(std::max(m_window.unansweredBytes(), m_link.windowBytes()));
+        execute(*next, m_ranks[*next].commands.windowOpened(transferTime, now), now, actions);
+    }
 }
 
 EngineCommandRequest GroupSwitch::requestFor(const EngineCommand &command) const
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -29,8 +29,10 @@
 constexpr std::chrono::seconds incompleteGroupBackendsReadInterval{1};
 /// Time without a status update from a side after which the leader reads the engine of that VM directly.
 constexpr std::chrono::milliseconds sideInactivityTimeout{400};
-/// Time without a reply to commands after which the leader bypasses a side and calls the engine directly.
+/// Time without a reply to commands, and number of commands without one, after which the leader bypasses a side and
+/// calls the engine directly. The number matters where commands wait for their window between two sends.
 constexpr std::chrono::milliseconds replyTimeout{160};
+constexpr int maxUnansweredCommands = 3;
 
 std::int64_t numberOf(core::MapVersion version)
 {
@@ -288,7 +290,7 @@
                                    execute(m_leadership.resign(m_clock.now()));
                                    return;
                                }
-                               m_leader = std::make_unique<GroupLeader>(group, fencingToken, *shape);
+                               m_leader = std::make_unique<GroupLeader>(group, fencingToken, *shape, m_settings.link);
                            });
 }
 
@@ -333,11 +335,12 @@
     // Normally the side on the engine's VM sends the command, since a local call is cheap. If the side does not reply,
     // it may have failed while the engine still runs.
     const auto now = m_clock.now();
-    const auto [unanswered, isFirst] = m_unansweredSince.try_emplace(action.ip, now);
-    if (!isFirst) {
+    auto &unanswered = m_unanswered.try_emplace(action.ip, UnansweredCommands{now}).first->second;
+    if (unanswered.sends > 0) {
         logCommand("commandRepeated", action.ip, action.command.command, CommandAnswer::None);
     }
-    if (now - unanswered->second < replyTimeout) {
+    if (now - unanswered.since < replyTimeout || unanswered.sends < maxUnansweredCommands) {
+        ++unanswered.sends;
         m_socket.send({asio::ip::make_address(action.ip), m_settings.datagramPort},
                       CommandOrder{action.number, action.command});
         return;
@@ -395,7 +398,7 @@
 void SideServer::onReply(const std::string &ip, const CommandReply &reply)
 {
     if (reply.answer != CommandAnswer::None) {
-        m_unansweredSince.erase(ip);
+        m_unanswered.erase(ip);
     }
     checkSuspension();
     if (isLeading() && m_leadership.fencingToken() == reply.fencingToken) {
