Repeat timeouts follow the answer times of a rank; large calls get more time

AnswerTimes keeps the smoothed mean and deviation of a rank's answers (RFC 6298), apart for prepares, with the present 30 ms as the lower bound. Sends are numbered, so that an answer is timed against its own send.

--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "lycheelanding/core/clock.h"
+#include "lycheelanding/decisions/mapswitch/answertimes.h"
 #include "lycheelanding/decisions/mapswitch/switchmessages.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -110,9 +112,11 @@
 
 struct RankCommandSettings
 {
-    /// Time after which an unanswered command is sent again; engines answer within milliseconds.
+    /// Time after which an unanswered command is sent again, unless earlier answers of the rank took longer: see
+    /// AnswerTimes. Engines answer within milliseconds.
     core::Duration answerTimeout = std::chrono::milliseconds(30);
-    /// Time after which an unanswered command counts as lost rather than slow.
+    /// Time after which an unanswered command counts as lost rather than slow, and upper bound of the time until it is
+    /// sent again; longer for a Prepare whose timeout is longer.
     core::Duration lostAfter = std::chrono::milliseconds(80);
 };
 
@@ -139,7 +143,7 @@
     /// added to the time for the answer.
     RankCommandActions windowOpened(core::Duration transferTime, core::TimePoint now);
 
-    /// Commands so far that the engine has not answered within `lostAfter`.
+    /// Commands so far that count as lost: see RankCommandSettings::lostAfter.
     std::uint64_t lostCommands() const { return m_lostCommands; }
     /// Whether a large command waits for the window or for its answer.
     bool usesWindow() const { return !m_queue.empty() && isLarge(m_queue.front()); }
@@ -148,6 +152,8 @@
 private:
     static bool isLarge(const EngineCommand &command) { return command.kind == CommandKind::Prepare; }
     core::Duration repeatTimeout() const;
+    core::Duration maxRepeatTimeout() const;
+    void recordAnswerTime(std::uint64_t number, core::TimePoint now);
     void awaitWindow(RankCommandActions &actions);
     void add(const EngineCommand &command, core::TimePoint now, RankCommandActions &actions);
     void sendFirst(core::TimePoint now, RankCommandActions &actions);
@@ -162,11 +168,12 @@
     /// Number under which the command at the front was first sent.
     std::uint64_t m_firstSendNumber = 1;
     std::uint64_t m_lostCommands = 0;
-    core::TimePoint m_firstSentAt;
-    core::TimePoint m_lastSentAt;
     core::Duration m_transferTime{0};
-    /// The command at the front has been sent.
-    bool m_isSent = false;
+    AnswerTimes m_answerTimes;
+    AnswerTimes m_largeAnswerTimes;
+    core::TimePoint m_firstSentAt;
+    /// Times of the last sends of the command at the front.
+    std::deque<core::TimePoint> m_lastSends;
     bool m_isAwaitingWindow = false;
     /// The command at the front is counted as lost.
     bool m_isLost = false;
--- a/packages/decisions/src/mapswitch/rankcommands.cpp
+++ b/packages/decisions/src/mapswitch/rankcommands.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheelanding/core/nametable.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -24,6 +25,11 @@
     {CommandAnswer::None, "none"},
 }};
 
+/// Bounds the timeout of a large command by a multiple of what a small one has at most and the transfer takes.
+constexpr int maxLargeTimeoutFactor = 2;
+/// Sends of a command whose answers are timed; answers to earlier ones are late anyway.
+constexpr std::size_t maxKeptSends = 8;
+
 } // namespace
 
 std::string_view nameOf(CommandKind kind)
@@ -105,6 +111,9 @@
     if (m_queue.empty() || number < m_firstSendNumber || number > m_lastSendNumber) {
         return actions;
     }
+    if (answer != CommandAnswer::None) {
+        recordAnswerTime(number, now);
+    }
     switch (answer) {
     case CommandAnswer::None:
         break; // tick() sends the command again.
@@ -184,10 +193,15 @@
 RankCommandActions RankCommands::tick(core::TimePoint now)
 {
     RankCommandActions actions;
-    if (m_queue.empty() || m_isAwaitingWindow || m_isOutcomeUnknown || now - m_lastSentAt < repeatTimeout()) {
+    if (m_queue.empty() || m_isAwaitingWindow || m_isOutcomeUnknown) {
         return actions;
     }
-    if (now - m_firstSentAt >= m_settings.lostAfter && !std::exchange(m_isLost, true)) {
+    const auto timeout = repeatTimeout();
+    if (now - m_lastSends.back() < timeout) {
+        return actions;
+    }
+    const auto lostAfter = std::max(m_settings.lostAfter, timeout);
+    if (now - m_firstSentAt >= lostAfter && !std::exchange(m_isLost, true)) {
         ++m_lostCommands;
     }
     if (usesWindow()) {
@@ -205,16 +219,30 @@
         return actions;
     }
     m_transferTime = transferTime;
-    if (!m_isSent) {
-        m_firstSentAt = now;
-    }
     transmitFirst(now, actions);
     return actions;
 }
 
 core::Duration RankCommands::repeatTimeout() const
 {
-    return usesWindow() ? m_settings.answerTimeout + m_transferTime : m_settings.answerTimeout;
+    const auto timeout = m_answerTimes.timeout(m_settings.answerTimeout, m_settings.lostAfter);
+    return usesWindow() ? m_largeAnswerTimes.timeout(timeout + m_transferTime, maxRepeatTimeout()) : timeout;
+}
+
+core::Duration RankCommands::maxRepeatTimeout() const
+{
+    return usesWindow() ? maxLargeTimeoutFactor * (m_settings.lostAfter + m_transferTime) : m_settings.lostAfter;
+}
+
+void RankCommands::recordAnswerTime(std::uint64_t number, core::TimePoint now)
+{
+    const auto laterSends = m_lastSendNumber - number;
+    if (laterSends >= m_lastSends.size()) {
+        return;
+    }
+    const auto sentAt = *(m_lastSends.rbegin() + static_cast<std::ptrdiff_t>(laterSends));
+    auto &times = usesWindow() ? m_largeAnswerTimes : m_answerTimes;
+    times.record(std::min(now - sentAt, maxRepeatTimeout()));
 }
 
 void RankCommands::awaitWindow(RankCommandActions &actions)
@@ -234,12 +262,11 @@
 void RankCommands::sendFirst(core::TimePoint now, RankCommandActions &actions)
 {
     m_isAwaitingWindow = false;
-    m_isSent = false;
+    m_lastSends.clear();
     if (m_queue.empty()) {
         return;
     }
     m_firstSendNumber = m_lastSendNumber + 1;
-    m_firstSentAt = now;
     m_isLost = false;
     if (usesWindow()) {
         awaitWindow(actions);
@@ -251,8 +278,13 @@
 void RankCommands::transmitFirst(core::TimePoint now, RankCommandActions &actions)
 {
     m_isOutcomeUnknown = false;
-    m_isSent = true;
-    m_lastSentAt = now;
+    if (m_lastSends.empty()) {
+        m_firstSentAt = now;
+    }
+    m_lastSends.push_back(now);
+    if (m_lastSends.size() > maxKeptSends) {
+        m_lastSends.pop_front();
+    }
     actions.emplace_back(SendCommand{++m_lastSendNumber, m_queue.front()});
 }
 
--- a/packages/decisions/tests/mapswitch/rankcommandstest.cpp
+++ b/packages/decisions/tests/mapswitch/rankcommandstest.cpp
@@ -51,6 +51,21 @@
     EXPECT_EQ(commands.lostCommands(), 1U);
 }
 
+// A rank that answers slowly got every command twice.
+TEST(RankCommandsTest, slowAnswersDelayTheRepeatsOfLaterCommands)
+{
+    const RankCommandSettings settings;
+    RankCommands commands(settings);
+    const auto first = sentNumber(commands.execute(hold, start));
+    commands.tick(start + settings.answerTimeout);
+    // The time counts from the send that is answered.
+    commands.answered(first, CommandAnswer::Done, start + 40ms);
+    const auto sentAt = start + 1s;
+    commands.execute(ResumeAt{stamp, hold.step}, sentAt);
+    EXPECT_TRUE(commands.tick(sentAt + 41ms).empty());
+    sentNumber(commands.tick(sentAt + settings.lostAfter));
+}
+
 TEST(RankCommandsTest, answerToAnEarlierSendOfTheCommandCounts)
 {
     RankCommands commands{RankCommandSettings()};
--- a/packages/rankgroups/tests/groupswitchlinktest.cpp
+++ b/packages/rankgroups/tests/groupswitchlinktest.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t udpHeaderBytes = 28;
 /// One way between two VMs, and the time that a side and its engine take for a command.
 constexpr auto networkDelay = 2ms;
-constexpr auto executionTime = 10ms;
+constexpr auto usualExecutionTime = 10ms;
 constexpr auto tickInterval = 25ms;
 constexpr auto statusInterval = 50ms;
 constexpr auto stepInterval = 100ms;
@@ -34,8 +34,9 @@
 class LinkSimulation
 {
 public:
-    explicit LinkSimulation(const decisions::experts::MapShape &shape)
-        : m_shape(shape), m_group(shape.ranks, true), m_link(linkMegabitsPerSecond),
+    explicit LinkSimulation(const decisions::experts::MapShape &shape,
+                            core::Duration executionTime = usualExecutionTime)
+        : m_shape(shape), m_executionTime(executionTime), m_group(shape.ranks, true), m_link(linkMegabitsPerSecond),
           m_leader(FencingToken(1), statesOf(m_group))
     {
         send(m_leader.start(m_now));
@@ -132,7 +133,7 @@
         if (m_underWay[keyOf(command)]++ > 0) {
             ++repeatsUnderWay;
         }
-        m_messages.push({sentAt + networkDelay + executionTime, ++m_lastOrder, command, std::nullopt});
+        m_messages.push({sentAt + networkDelay + m_executionTime, ++m_lastOrder, command, std::nullopt});
     }
 
     void deliverDueMessages()
@@ -161,6 +162,7 @@
     }
 
     const decisions::experts::MapShape m_shape;
+    const core::Duration m_executionTime;
     FakeRankGroup m_group;
     SimulatedLink m_link;
     GroupSwitch m_leader;
@@ -260,4 +262,17 @@
     testSwitchWithLosses(deepModel);
 }
 
+// Sides with a small share of a core answered after the fixed timeout of 30 ms, so that each command was sent twice.
+TEST(GroupSwitchOnASlowLink, slowSidesGetNoRepeatsOnceTheirAnswerTimesAreKnown)
+{
+    constexpr auto executionTime = 40ms;
+    LinkSimulation simulation(largeGroup, executionTime);
+    simulation.run(1s);
+    ASSERT_TRUE(simulation.leader().isIdle());
+    simulation.repeatsUnderWay = 0;
+    simulation.startSwitch();
+    simulation.run(4s);
+    expectSwitched(simulation, largeGroup);
+}
+
 } // namespace lycheelanding::rankgroups
