--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "lycheelanding/core/clock.h"
+#include "lycheelanding/decisions/mapswitch/answertimes.h"
 #include "lycheelanding/decisions/mapswitch/switchmessages.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -72,6 +74,12 @@
     std::uint64_t number = 0;
     EngineCommand command;
 };
+/// The command is large: it is sent once the caller calls windowOpened(). This also ends the wait for the answer to an
+/// earlier send of it.
+struct AwaitWindow
+{
+    EngineCommand command;
+};
 // Results that are passed to the RankGate.
 struct MapStaged
 {
@@ -98,21 +106,23 @@
 /// The engine has seen the leader's fencing token and no longer accepts commands of earlier leaders.
 struct FencingTokenInstalled
 { };
-using RankCommandAction = std::variant<SendCommand, MapStaged, MapStageFailed, StepHeld, HoldRefused, StateMismatch,
-                                       CommandFenced, FencingTokenInstalled>;
+using RankCommandAction = std::variant<SendCommand, AwaitWindow, MapStaged, MapStageFailed, StepHeld, HoldRefused,
+                                       StateMismatch, CommandFenced, FencingTokenInstalled>;
 using RankCommandActions = std::vector<RankCommandAction>;
 
 struct RankCommandSettings
 {
-    /// Time after which an unanswered command is sent again; engines answer within milliseconds.
+    /// Time after which an unanswered command is sent again, unless earlier answers of the rank took longer: see
+    /// AnswerTimes. Engines answer within milliseconds.
     core::Duration answerTimeout = std::chrono::milliseconds(30);
-    /// Time after which an unanswered command counts as lost rather than slow.
+    /// Time after which an unanswered command counts as lost rather than slow, and upper bound of the time until it is
+    /// sent again; longer for a Prepare whose timeout is longer.
     core::Duration lostAfter = std::chrono::milliseconds(80);
 };
 
 /// Sends the commands of one RankGate to an engine, one at a time. An unanswered command is sent again until it is
 /// answered, because the engine may execute it late: commands are idempotent, and the engine refuses a late one once
-/// the step has begun.
+/// the step has begun. A Prepare carries a whole map, so each send of it waits for the caller's window.
 class RankCommands
 {
 public:
@@ -129,12 +139,22 @@
     /// `state` was read after the engine answered all commands that have an answer.
     RankCommandActions stateRead(const RankState &state, core::TimePoint now);
     RankCommandActions tick(core::TimePoint now);
+    /// The command that waits for the window may be sent. `transferTime` is what its transfer takes at most; it is
+    /// added to the time for the answer.
+    RankCommandActions windowOpened(core::Duration transferTime, core::TimePoint now);
 
-    /// Commands so far that the engine has not answered within `lostAfter`.
+    /// Commands so far that count as lost: see RankCommandSettings::lostAfter.
     std::uint64_t lostCommands() const { return m_lostCommands; }
+    /// Whether a large command waits for the window or for its answer.
+    bool usesWindow() const { return !m_queue.empty() && isLarge(m_queue.front()); }
     bool isIdle() const { return m_queue.empty() && !m_preparing; }
 
 private:
+    static bool isLarge(const EngineCommand &command) { return command.kind == CommandKind::Prepare; }
+    core::Duration repeatTimeout() const;
+    core::Duration maxRepeatTimeout() const;
+    void recordAnswerTime(std::uint64_t number, core::TimePoint now);
+    void awaitWindow(RankCommandActions &actions);
     void add(const EngineCommand &command, core::TimePoint now, RankCommandActions &actions);
     void sendFirst(core::TimePoint now, RankCommandActions &actions);
     void transmitFirst(core::TimePoint now, RankCommandActions &actions);
@@ -148,8 +168,13 @@
     /// Number under which the command at the front was first sent.
     std::uint64_t m_firstSendNumber = 1;
     std::uint64_t m_lostCommands = 0;
+    core::Duration m_transferTime{0};
+    AnswerTimes m_answerTimes;
+    AnswerTimes m_largeAnswerTimes;
     core::TimePoint m_firstSentAt;
-    core::TimePoint m_lastSentAt;
+    /// Times of the last sends of the command at the front.
+    std::deque<core::TimePoint> m_lastSends;
+    bool m_isAwaitingWindow = false;
     /// The command at the front is counted as lost.
     bool m_isLost = false;
     /// The command at the front was refused, possibly because an earlier send of it was executed; the next stateRead()
--- a/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
@@ -146,8 +146,13 @@
     std::map<std::string, asio::ip::tcp::endpoint> m_engines;
     /// Time of the last status update of each side or direct read of its engine, by the IP address of the VM.
     std::map<std::string, core::TimePoint> m_lastContact;
-    /// Time of the first command to which a side has not replied yet, by the IP address of its VM.
-    std::map<std::string, core::TimePoint> m_unansweredSince;
+    struct UnansweredCommands
+    {
+        core::TimePoint since;
+        int sends = 0;
+    };
+    /// Commands to which a side has not replied yet, by the IP address of its VM.
+    std::map<std::string, UnansweredCommands> m_unanswered;
     forwarding::SuspensionDetector m_suspension;
     core::TimePoint m_nextBackendsRead;
     core::TimePoint m_nextSubscribe;
--- a/packages/rankgroups/src/private/compactlists.h
+++ b/packages/rankgroups/src/private/compactlists.h
@@ -27,12 +27,12 @@
     std::optional<std::vector<std::uint32_t>> list();
     std::optional<std::vector<std::vector<std::uint32_t>>> lists();
 
+    /// The length of a list whose items take a byte or more each.
+    std::optional<std::size_t> length();
+
     bool isAtEnd() const { return m_bytes.empty(); }
 
 private:
-    /// A length of a list whose items take a byte or more each.
-    std::optional<std::size_t> length();
-
     std::string_view m_bytes;
 };
 
--- a/packages/rankgroups/tests/groupleadertest.cpp
+++ b/packages/rankgroups/tests/groupleadertest.cpp
@@ -102,7 +102,7 @@
     core::TimePoint m_now{1h};
     std::uint64_t m_step = 10;
     ChoiceCounts m_counts = ChoiceCounts(layers * experts, 0);
-    GroupLeader m_leader{core::GroupId("g"), fencingToken, shape()};
+    GroupLeader m_leader{core::GroupId("g"), fencingToken, shape(), {}};
 };
 
 } // namespace
