Do not resume an inactive stream in its stalled group

The ranks of a group execute each pass together, so when one stalls, all do. An inactive stream was nevertheless given to any rank with a place, often the idle one of the same group: its retry and a place were spent, and the new attempt stalled like the old one, with the prompt to be read again.

BackendSet now knows the last event of each group. While the group of an inactive stream has had none in the later half of that time, a replacement is looked for at other groups only; if there is none, the stream goes on where it is. A group that is active, so that only this rank is silent, may still resume the stream, and so may a service without groups.

Failed before: BrokenStreams.inactiveStreamIsNotResumedInItsStalledGroup (two requests to backend servers instead of one) and BrokenStreams.inactiveStreamIsResumedOutsideItsStalledGroup.

--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -34,6 +34,9 @@
     bool acceptsSaturated = false;
     /// Backend servers to which the request was sent before; they are excluded.
     std::vector<BackendId> tried;
+    /// For a stream to be resumed: the time for which the last of `tried` has sent no event. If its whole group has
+    /// stalled, the other ranks of the group are excluded too.
+    core::Duration inactivity = core::Duration::zero();
 };
 
 /// A selected backend server with the endpoint of its listening socket.
@@ -105,6 +108,11 @@
     /// Number of requests that may be in progress at the backend server.
     double capacityOf(const RegisteredBackend &backend, const BackendLoad &load, const BackendRequirements &request,
                       core::TimePoint now) const;
+    /// Empty while it is unknown.
+    core::GroupId groupOf(const BackendId &id) const;
+    void recordGroupEvent(AttemptId attempt, core::TimePoint now);
+    /// The group of the last tried backend server if it has stalled; otherwise empty.
+    core::GroupId stalledGroup(const BackendRequirements &request, core::TimePoint now) const;
     double meanRunning(const core::GroupId &group, core::TimePoint now) const;
 
     const core::DataCentreId m_localDataCentre;
@@ -113,6 +121,8 @@
     std::map<BackendId, BackendState> m_states;
     std::map<core::ServiceId, ModelShape> m_models;
     std::map<core::GroupId, PassDurationModel> m_passModels;
+    /// Last event of any stream at a rank of the group.
+    std::map<core::GroupId, core::TimePoint> m_groupEvents;
     std::map<AttemptId, BackendId> m_attempts;
     decisions::routing::BackendSelector m_selector;
 };
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -96,10 +96,10 @@
     core::Result<const Route *> findRoute();
     void startTimer();
     void startAttempt();
-    std::optional<ReservedBackend> reserveReplacement(const core::Error &error);
+    std::optional<ReservedBackend> reserveReplacement(const core::Error &error, core::Duration inactivity);
     std::optional<RetryDenial> retryDenial() const;
     decisions::retry::FailedAttempt failedAttempt(const core::Error &error, core::Ran ran) const;
-    std::optional<ReservedBackend> reserveBackend();
+    std::optional<ReservedBackend> reserveBackend(const BackendRequirements &request);
     BackendRequirements backendRequirements() const;
     void beginAttempt(const ReservedBackend &reserved);
     void openConnection();
@@ -122,7 +122,7 @@
     void execute(const decisions::attempts::CancelAttempt &action);
     void execute(const decisions::attempts::AnswerError &action);
     void execute(const decisions::attempts::BreakAnswer &action);
-    void execute(const decisions::attempts::RequestDone &action);
+    void execute(const decisions::attempts::RequestDone &) { }
 
     void endAttempt(Outcome outcome);
     void answerError(const core::Error &error);
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -37,6 +37,10 @@
 /// Tokens that a running request has left on average: half of a typical answer.
 constexpr std::uint64_t expectedRemainingTokens = 80;
 
+/// A group is active if it has had an event in this last part of the time, in percent, for which one of its streams has
+/// been inactive.
+constexpr int activePercent = 50;
+
 decisions::routing::SelectorSettings selectorSettings()
 {
     decisions::routing::SelectorSettings settings;
@@ -136,6 +140,34 @@
         && now - found->second.addedAt < firstStatusTimeout;
 }
 
+core::GroupId BackendSet::groupOf(const BackendId &id) const
+{
+    const auto found = m_states.find(id);
+    return found != m_states.end() && found->second.load ? found->second.load->group : core::GroupId();
+}
+
+core::GroupId BackendSet::stalledGroup(const BackendRequirements &request, core::TimePoint now) const
+{
+    if (request.inactivity == core::Duration::zero() || request.tried.empty()) {
+        return {};
+    }
+    const auto group = groupOf(request.tried.back());
+    const auto lastEvent = m_groupEvents.find(group);
+    // The ranks of a group execute each pass together, but the events of its last pass do not arrive together.
+    const bool isActive
+        = lastEvent != m_groupEvents.end() && now - lastEvent->second < percentOf(request.inactivity, activePercent);
+    return isActive ? core::GroupId() : group;
+}
+
+void BackendSet::recordGroupEvent(AttemptId attempt, core::TimePoint now)
+{
+    const auto found = m_attempts.find(attempt);
+    const auto group = found != m_attempts.end() ? groupOf(found->second) : core::GroupId();
+    if (!group.isEmpty()) {
+        m_groupEvents[group] = now;
+    }
+}
+
 double BackendSet::meanRunning(const core::GroupId &group, core::TimePoint now) const
 {
     double sum = 0.0;
@@ -195,8 +227,10 @@
     for (const auto &id : request.tried) {
         route.excluded.push_back(selectorId(id));
     }
+    const auto stalled = stalledGroup(request, now);
     for (const auto &[id, backend] : m_backends) {
-        if (backend.service == request.service && !canAccept(backend, request, now)) {
+        const bool isStalled = !stalled.isEmpty() && groupOf(id) == stalled;
+        if (backend.service == request.service && (isStalled || !canAccept(backend, request, now))) {
             route.excluded.push_back(selectorId(id));
         }
     }
@@ -215,10 +249,12 @@
 void BackendSet::recordFirstEvent(AttemptId attempt, std::uint64_t promptTokens, core::TimePoint now)
 {
     m_selector.firstToken(attempt, promptTokens, now);
+    recordGroupEvent(attempt, now);
 }
 
 void BackendSet::recordNextEvent(AttemptId attempt, core::Duration interval, core::TimePoint now)
 {
+    recordGroupEvent(attempt, now);
     const auto found = m_attempts.find(attempt);
     const auto state = found != m_attempts.end() ? m_states.find(found->second) : m_states.end();
     if (state == m_states.end() || !state->second.load || state->second.load->group.isEmpty()) {
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -125,10 +125,10 @@
     }
 }
 
-std::optional<ReservedBackend> ForwardedExchange::reserveBackend()
+std::optional<ReservedBackend> ForwardedExchange::reserveBackend(const BackendRequirements &request)
 {
     m_resources.lastAttempt = m_resources.lastAttempt.next();
-    const auto chosen = m_resources.backends.selectBackend(backendRequirements(), m_resources.lastAttempt, now());
+    const auto chosen = m_resources.backends.selectBackend(request, m_resources.lastAttempt, now());
     if (!core::isOk(chosen)) {
         return std::nullopt;
     }
@@ -137,7 +137,7 @@
 
 bool ForwardedExchange::trySend()
 {
-    const auto reserved = reserveBackend();
+    const auto reserved = reserveBackend(backendRequirements());
     if (reserved) {
         beginAttempt(*reserved);
     }
@@ -321,11 +321,14 @@
     execute(m_attempts->lost(attempt, backendLostError(error), now()));
 }
 
-std::optional<ReservedBackend> ForwardedExchange::reserveReplacement(const core::Error &error)
+std::optional<ReservedBackend> ForwardedExchange::reserveReplacement(const core::Error &error,
+                                                                     core::Duration inactivity)
 {
+    auto request = backendRequirements();
+    request.inactivity = inactivity;
     const bool isAllowed
         = !retryDenial() && m_resources.retries.allowsRetry(m_service, failedAttempt(error, core::Ran::Unknown), now());
-    return isAllowed ? reserveBackend() : std::nullopt;
+    return isAllowed ? reserveBackend(request) : std::nullopt;
 }
 
 void ForwardedExchange::replaceInactiveAttempt()
@@ -340,7 +343,7 @@
         return;
     }
     // The replacement is reserved first, since the inactive attempt may still be the only one that can finish.
-    m_replacement = reserveReplacement(*error);
+    m_replacement = reserveReplacement(*error, inactivity);
     if (!m_replacement) {
         return;
     }
@@ -455,8 +458,6 @@
     finish("broken", 0);
 }
 
-void ForwardedExchange::execute(const RequestDone &) { }
-
 void ForwardedExchange::endAttempt(Outcome outcome)
 {
     if (!m_attempt) {
--- a/packages/forwarding/tests/brokenstreamstest.cpp
+++ b/packages/forwarding/tests/brokenstreamstest.cpp
@@ -156,6 +156,57 @@
     EXPECT_TRUE(answer.ends_with(lastChunk)) << answer;
 }
 
+// Streams of a stalled group were given up for places at other ranks of it, which stall too: the retry budget was spent
+// and the places were taken in vain.
+TEST(BrokenStreams, inactiveStreamIsNotResumedInItsStalledGroup)
+{
+    EntrySimulation simulation;
+    simulation.configure(RouteKind::Stream);
+    int requestCount = 0;
+    const auto script = firstThenLater(requestCount, slowStream(), {secondHead + chunk(event(2)) + lastChunk});
+    BackendLoad load;
+    load.group = core::GroupId("g0");
+    for (const auto *id : {"backend-1", "backend-2"}) {
+        simulation.addBackend(script);
+        simulation.setLoad(BackendId(id), load);
+    }
+    const auto answer = simulation.exchange(callerRequest("POST", "prompt"));
+    EXPECT_EQ(requestCount, 1);
+    EXPECT_NE(answer.find(event(2)), std::string::npos) << answer;
+    EXPECT_TRUE(answer.ends_with(lastChunk)) << answer;
+}
+
+// The same fault: a less loaded rank of the stalled group was preferred to another group.
+TEST(BrokenStreams, inactiveStreamIsResumedOutsideItsStalledGroup)
+{
+    EntrySimulation simulation;
+    simulation.configure(RouteKind::Stream);
+    constexpr int backendCount = 3;
+    int first = 0;
+    int second = 0;
+    for (int number = 1; number <= backendCount; ++number) {
+        simulation.addBackend([&simulation, &first, &second, number](const std::string &) {
+            if (first != 0) {
+                second = number;
+                return ScriptedResponse{secondHead + chunk(event(2)) + lastChunk};
+            }
+            first = number;
+            for (int other = 1; other <= backendCount; ++other) {
+                // One of the other two is in the group of the first and idle.
+                const bool isInOtherGroup = other == first % backendCount + 1;
+                BackendLoad load;
+                load.group = core::GroupId(isInOtherGroup ? "g1" : "g0");
+                load.running = isInOtherGroup ? 8 : 0;
+                simulation.setLoad(BackendId("backend-" + std::to_string(other)), load);
+            }
+            return slowStream();
+        });
+    }
+    const auto answer = simulation.exchange(callerRequest("POST", "prompt"));
+    EXPECT_EQ(second, first % backendCount + 1);
+    EXPECT_TRUE(answer.ends_with(lastChunk)) << answer;
+}
+
 TEST(BrokenStreams, backendThatRestartsTheStreamCausesNoDuplicates)
 {
     const StreamSimulation stream({firstHead + chunk(event(1) + event(2)), true},
--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -162,6 +163,9 @@
         return *m_backends.back();
     }
 
+    /// From now on status updates of the backend server arrive all the time, with this load.
+    void setLoad(const BackendId &id, const BackendLoad &load) { m_loads[id] = load; }
+
     asio::ip::tcp::socket connect()
     {
         asio::ip::tcp::socket socket(m_context);
@@ -190,6 +194,7 @@
         for (int round = 0; round < maxRounds && !condition(); ++round) {
             m_context.run_one_for(std::chrono::milliseconds(10));
             m_context.restart();
+            sendStatusUpdates();
             m_entry.sendWaitingRequests();
             m_entry.replaceInactiveAttempts();
         }
@@ -202,6 +207,14 @@
     bool isStarted = false;
 
 private:
+    void sendStatusUpdates()
+    {
+        for (auto &[id, load] : m_loads) {
+            load.measuredAt = m_clock.now();
+            m_entry.updateBackendLoad(id, load);
+        }
+    }
+
     static EntryServerSettings settings()
     {
         EntryServerSettings settings;
@@ -226,6 +239,8 @@
     EntryServer m_entry;
     std::uint64_t m_version = 0;
     std::vector<std::unique_ptr<FakeBackend>> m_backends;
+    core::SystemClock m_clock;
+    std::map<BackendId, BackendLoad> m_loads;
 };
 
 /// A request whose connection is closed after the answer.
