Do not retry a stream whose caller does not read

An answer with more than 256 KB that the caller has not read is broken off. The error was passed on as a failure of the backend server: a resumable stream was sent to the next one, where it failed in the same way, which took a retry from the budget of all, and the health of two sound backend servers suffered.

Now the answer is broken off at once, and the attempt counts as cancelled.

Failed before: HostileCaller.streamOfACallerThatDoesNotReadIsNotRetried (two requests to backend servers instead of one).

--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -250,7 +250,7 @@
         execute(m_attempts->answerStarted(attempt));
     }
     if (m_answer.isCallerTooSlow()) {
-        onFailed(attempt, {core::ErrorKind::Cancelled, "the caller does not read its answer"});
+        execute(BreakAnswer{{core::ErrorKind::Cancelled, "the caller does not read its answer"}});
     }
 }
 
--- a/packages/forwarding/tests/hostilepeerstest.cpp
+++ b/packages/forwarding/tests/hostilepeerstest.cpp
@@ -199,6 +199,35 @@
     EXPECT_EQ(backend.lastEnd, asio::error::connection_reset);
 }
 
+// The failure of a caller that does not read was ascribed to the backend server: the stream was sent to another one,
+// where it failed in the same way.
+TEST(HostileCaller, streamOfACallerThatDoesNotReadIsNotRetried)
+{
+    EntrySimulation simulation;
+    simulation.configure(RouteKind::Stream);
+    std::string events = "HTTP/1.1 200 OK\r\nProof: p\r\nAttempt: 77\r\n\r\n";
+    // More than the socket buffers hold.
+    constexpr int eventCount = 400;
+    constexpr std::size_t eventBytes = 64UL * 1024;
+    for (int id = 1; id <= eventCount; ++id) {
+        events += "id: " + std::to_string(id) + "\ndata: " + std::string(eventBytes, 'x') + "\n\n";
+    }
+    int requestCount = 0;
+    const auto script = [&requestCount, &events](const std::string &) {
+        ++requestCount;
+        return ScriptedResponse{events};
+    };
+    const std::array backends{&simulation.addBackend(script), &simulation.addBackend(script)};
+    auto caller = simulation.connect();
+    asio::write(caller, asio::buffer(callerRequest("POST", "prompt")));
+    ASSERT_TRUE(
+        simulation.runUntil([&backends] { return backends[0]->endedConnections + backends[1]->endedConnections > 0; }));
+    constexpr int roundsOfARetry = 50;
+    int rounds = 0;
+    simulation.runUntil([&rounds] { return ++rounds > roundsOfARetry; });
+    EXPECT_EQ(requestCount, 1);
+}
+
 TEST(HostileBackend, answeredConnectionsCloseWithoutAReset)
 {
     EntrySimulation simulation;
