Keep a connection to a side while requests on it are in progress

The daemon's entry closed its connection to a side as soon as one VM list came without the VM, or the choice among more than 40 backend servers changed with the number of entries. All requests in progress there were lost at once (502 for those that may not be repeated) and the side cancelled the others, although BackendMembership itself waits for several lists before it takes a VM out.

PeerLinks now keeps the connection of a removed target until no request awaits an answer on it; new requests do not get it, heartbeats go on, a silent peer still ends it after 4 s, and a target that returns gets its connection back. closeAll() closes everything as before, and so does a set of peers without isInUse (entries, members of groups).

Failed with the handler declared and not used: PeerLinksInUseTest.connectionToARemovedTargetStaysOpenWhileItIsInUse and connectionIsUsedAgainWhenItsTargetReturns.

--- a/packages/daemon/src/entry/entrydaemon.cpp
+++ b/packages/daemon/src/entry/entrydaemon.cpp
@@ -231,9 +231,14 @@
     handlers.onFrame
         = [this](const auto &vm, const auto &link, const auto &frame) { handleSideFrame(vm, link, frame); };
     handlers.onLost = [this](const auto &vm, const auto &link, const auto &error) {
-        m_backends.linkLost(vm);
+        // The lost connection may be an older one that was still in use.
+        if (!m_sides.find(vm)) {
+            m_backends.linkLost(vm);
+        }
         m_requests.linkLost(link, error);
     };
+    handlers.isInUse = [this](const auto &link) { return m_requests.isInUse(link); };
+    handlers.onRetired = [this](const auto &vm) { m_backends.linkLost(vm); };
     return handlers;
 }
 
--- a/packages/daemon/src/entry/requesttable.cpp
+++ b/packages/daemon/src/entry/requesttable.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/forwardedrequest.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace lycheelanding::daemon::entry {
@@ -83,6 +84,13 @@
     }
 }
 
+bool RequestTable::isInUse(const wire::PeerConnectionPointer &link) const
+{
+    const std::scoped_lock lock(m_mutex);
+    return std::any_of(m_attempts.begin(), m_attempts.end(),
+                       [&link](const auto &item) { return item.second.link == link; });
+}
+
 std::size_t RequestTable::size() const
 {
     const std::scoped_lock lock(m_mutex);
--- a/packages/daemon/src/entry/requesttable.h
+++ b/packages/daemon/src/entry/requesttable.h
@@ -29,6 +29,8 @@
     /// Notifies all requests that were sent over `link` of its loss.
     void linkLost(const wire::PeerConnectionPointer &link, const core::Error &error);
 
+    /// Whether a request awaits frames on the connection.
+    bool isInUse(const wire::PeerConnectionPointer &link) const;
     std::size_t size() const;
 
 private:
--- a/packages/daemon/src/shared/peerlinks.cpp
+++ b/packages/daemon/src/shared/peerlinks.cpp
@@ -31,9 +31,11 @@
             PeerLinkHandlers handlers);
 
     void setTargets(const std::vector<PeerTarget> &targets);
+    void closeAll();
     wire::PeerConnectionPointer find(const core::VmId &vm) const;
     std::optional<core::Incarnation> incarnationOf(const core::VmId &vm) const;
     std::vector<wire::PeerConnectionPointer> all() const;
+    std::vector<wire::PeerConnectionPointer> retired() const;
 
 private:
     struct Peer
@@ -46,8 +48,11 @@
         core::TimePoint lastReceived;
     };
 
+    std::vector<core::VmId> replaceTargets(const std::vector<PeerTarget> &targets);
+    Peer takePeer(const PeerTarget &target);
     void check();
     void connectDue();
+    void closeUnused();
     void abortInactive();
     wire::PeerHandlers handlersFor(const core::VmId &vm);
     void recordFrame(const core::VmId &vm, const wire::PeerConnectionPointer &link);
@@ -62,6 +67,8 @@
     core::SystemClock m_clock;
     mutable std::mutex m_mutex;
     std::map<core::VmId, Peer> m_peers;
+    /// Removed targets whose connections are not closed yet.
+    std::vector<Peer> m_retired;
     core::RandomSequence m_random;
     runtime::RepeatingTimer m_timer;
 };
@@ -74,34 +81,81 @@
 
 void PeerLinks::Private::setTargets(const std::vector<PeerTarget> &targets)
 {
-    std::vector<wire::PeerConnectionPointer> removed;
-    {
-        const std::scoped_lock lock(m_mutex);
-        std::map<core::VmId, Peer> next;
-        for (const auto &target : targets) {
-            const auto found = m_peers.find(target.vm);
-            if (found != m_peers.end() && found->second.target == target) {
-                next.insert(m_peers.extract(found));
-            } else {
-                next.emplace(target.vm, Peer{target, nullptr, std::nullopt, 0, m_clock.now(), m_clock.now()});
-            }
+    for (const auto &vm : replaceTargets(targets)) {
+        if (m_handlers.onRetired) {
+            m_handlers.onRetired(vm);
         }
-        for (const auto &[vm, peer] : m_peers) {
-            if (peer.link) {
-                removed.push_back(peer.link);
-            }
+    }
+    closeUnused();
+    connectDue();
+}
+
+std::vector<core::VmId> PeerLinks::Private::replaceTargets(const std::vector<PeerTarget> &targets)
+{
+    const std::scoped_lock lock(m_mutex);
+    std::map<core::VmId, Peer> next;
+    for (const auto &target : targets) {
+        next.emplace(target.vm, takePeer(target));
+    }
+    std::vector<core::VmId> removed;
+    for (auto &[vm, peer] : m_peers) {
+        if (peer.link) {
+            removed.push_back(vm);
+            m_retired.push_back(std::move(peer));
+        }
+    }
+    m_peers = std::move(next);
+    return removed;
+}
+
+/// Takes the peer of the target with its connection if there is one; the mutex is locked.
+PeerLinks::Private::Peer PeerLinks::Private::takePeer(const PeerTarget &target)
+{
+    const auto known = m_peers.find(target.vm);
+    if (known != m_peers.end() && known->second.target == target) {
+        return m_peers.extract(known).mapped();
+    }
+    const auto returned = std::find_if(m_retired.begin(), m_retired.end(),
+                                       [&target](const auto &peer) { return peer.target == target; });
+    if (returned == m_retired.end()) {
+        return {target, nullptr, std::nullopt, 0, m_clock.now(), m_clock.now()};
+    }
+    Peer peer = std::move(*returned);
+    m_retired.erase(returned);
+    return peer;
+}
+
+void PeerLinks::Private::closeUnused()
+{
+    for (const auto &link : retired()) {
+        if (!m_handlers.isInUse || !m_handlers.isInUse(link)) {
+            link->close();
         }
-        m_peers = std::move(next);
     }
-    for (const auto &link : removed) {
+}
+
+void PeerLinks::Private::closeAll()
+{
+    setTargets({});
+    for (const auto &link : retired()) {
         link->close();
     }
-    connectDue();
+}
+
+std::vector<wire::PeerConnectionPointer> PeerLinks::Private::retired() const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::vector<wire::PeerConnectionPointer> links;
+    for (const auto &peer : m_retired) {
+        links.push_back(peer.link);
+    }
+    return links;
 }
 
 void PeerLinks::Private::check()
 {
     abortInactive();
+    closeUnused();
     connectDue();
 }
 
@@ -115,6 +169,11 @@
                 inactive.push_back(peer.link);
             }
         }
+        for (const auto &peer : m_retired) {
+            if (m_clock.now() - peer.lastReceived > inactivityTimeout) {
+                inactive.push_back(peer.link);
+            }
+        }
     }
     for (const auto &link : inactive) {
         link->abort({core::ErrorKind::PeerUnreachable, "the peer is silent"});
@@ -161,6 +220,12 @@
     const auto found = m_peers.find(vm);
     if (found != m_peers.end() && found->second.link == link) {
         found->second.lastReceived = m_clock.now();
+        return;
+    }
+    for (auto &peer : m_retired) {
+        if (peer.link == link) {
+            peer.lastReceived = m_clock.now();
+        }
     }
 }
 
@@ -207,6 +272,7 @@
             peer.incarnation.reset();
             peer.nextAttempt = m_clock.now() + reconnectDelayAfter(peer.failures++);
         }
+        std::erase_if(m_retired, [&link](const auto &peer) { return peer.link == link; });
     }
     m_handlers.onLost(vm, link, error);
 }
@@ -262,11 +328,14 @@
     for (const auto &link : all()) {
         link->send(frame);
     }
+    for (const auto &link : m_d->retired()) {
+        link->send(frame);
+    }
 }
 
 void PeerLinks::closeAll()
 {
-    setTargets({});
+    m_d->closeAll();
 }
 
 wire::PeerConnectionPointer PeerLinks::find(const core::VmId &vm) const
--- a/packages/daemon/src/shared/peerlinks.h
+++ b/packages/daemon/src/shared/peerlinks.h
@@ -28,6 +28,11 @@
     std::function<void(const core::VmId &, const wire::PeerConnectionPointer &, const wire::Hello &)> onHelloReceived;
     std::function<void(const core::VmId &, const wire::PeerConnectionPointer &, const wire::Frame &)> onFrame;
     std::function<void(const core::VmId &, const wire::PeerConnectionPointer &, const core::Error &)> onLost;
+    /// Whether messages of the peer are still expected on the connection. Optional; without it no connection outlives
+    /// its target.
+    std::function<bool(const wire::PeerConnectionPointer &)> isInUse;
+    /// The target of an open connection was removed. Optional.
+    std::function<void(const core::VmId &)> onRetired;
 };
 
 /// Keeps a connection open to each peer of a set. Lost connections are reopened after an exponential delay with
@@ -41,7 +46,8 @@
     PeerLinks(const PeerLinks &) = delete;
     PeerLinks &operator=(const PeerLinks &) = delete;
 
-    /// Replaces the set of peers: opens connections to new targets and closes those to removed targets.
+    /// Replaces the set of peers: opens connections to new targets and closes those to removed targets once they are no
+    /// longer in use. Until then find() does not return them.
     void setTargets(const std::vector<PeerTarget> &targets);
     void sendToAll(const wire::Frame &frame);
     void closeAll();
--- a/packages/daemon/tests/peerlinkstest.cpp
+++ b/packages/daemon/tests/peerlinkstest.cpp
@@ -6,15 +6,100 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <optional>
 
 namespace lycheelanding::daemon::shared {
 
 namespace {
 
 constexpr std::chrono::milliseconds runTime{20};
+/// Longer than the interval at which PeerLinks checks its connections.
+constexpr std::chrono::milliseconds checkTime{200};
+
+/// PeerLinks with one peer, which has sent its Hello.
+class PeerLinksInUseTest : public testing::Test
+{
+protected:
+    PeerLinksInUseTest() : m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0}), m_target(targetOf())
+    {
+        PeerLinkHandlers handlers;
+        handlers.onHelloReceived = [](const auto &, const auto &, const auto &) {};
+        handlers.onFrame = [](const auto &, const auto &, const auto &) {};
+        handlers.onLost = [this](const auto &, const auto &, const auto &) { ++m_lostCalls; };
+        handlers.isInUse = [this](const auto &) { return m_isInUse; };
+        m_links.emplace(m_context, wire::Hello{}, m_configuration, handlers);
+        m_links->setTargets({m_target});
+        m_peer = wire::PeerConnection::adopt(m_context, m_acceptor.accept(), peerHandlers());
+        wire::Hello hello;
+        hello.vm = m_target.vm;
+        m_peer->send(wire::makeFrame(hello, m_configuration.version()));
+        run();
+    }
+
+    void run()
+    {
+        m_context.restart();
+        m_context.run_for(checkTime);
+    }
+
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    const PeerTarget m_target;
+    const ConfigurationTable m_configuration;
+    std::optional<PeerLinks> m_links;
+    wire::PeerConnectionPointer m_peer;
+    int m_lostCalls = 0;
+    bool m_isInUse = true;
+
+private:
+    PeerTarget targetOf() const { return {core::VmId("peer"), m_acceptor.local_endpoint()}; }
+
+    static wire::PeerHandlers peerHandlers()
+    {
+        wire::PeerHandlers handlers;
+        handlers.onOpened = [](const auto &) {};
+        handlers.onFrame = [](const auto &, const auto &) {};
+        handlers.onClosed = [](const auto &, const auto &) {};
+        return handlers;
+    }
+};
 
 } // namespace
 
+// One VM list without a VM, or another choice of backend servers by the entry, cut off all requests in progress there.
+TEST_F(PeerLinksInUseTest, connectionToARemovedTargetStaysOpenWhileItIsInUse)
+{
+    ASSERT_NE(m_links->find(m_target.vm), nullptr);
+    m_links->setTargets({});
+    run();
+    EXPECT_EQ(m_links->find(m_target.vm), nullptr);
+    EXPECT_TRUE(m_peer->isOpen());
+    EXPECT_EQ(m_lostCalls, 0);
+    m_isInUse = false;
+    run();
+    EXPECT_FALSE(m_peer->isOpen());
+    EXPECT_EQ(m_lostCalls, 1);
+}
+
+TEST_F(PeerLinksInUseTest, connectionIsUsedAgainWhenItsTargetReturns)
+{
+    const auto link = m_links->find(m_target.vm);
+    ASSERT_NE(link, nullptr);
+    m_links->setTargets({});
+    m_links->setTargets({m_target});
+    run();
+    EXPECT_EQ(m_links->find(m_target.vm), link);
+    EXPECT_EQ(m_lostCalls, 0);
+}
+
+TEST_F(PeerLinksInUseTest, closeAllAlsoClosesConnectionsInUse)
+{
+    m_links->setTargets({});
+    m_links->closeAll();
+    run();
+    EXPECT_FALSE(m_peer->isOpen());
+}
+
 /// Guards against a use after free: a side that left its group destroyed its PeerLinks while a connection was still
 /// closing, and the connection then called a handler of the destroyed object. This crashed
 /// GuaranteeRounds.plannedStopsCutOffNothing.
