Renew the leader's lease without waiting for the answer to the last renewal

Cause of the lost lease: a renewal was requested only after the last one had been answered, and the lease of 1 s counts from the request, so that two round trips of half a second lost it although the store answered each. Renewals are now requested every 300 ms whatever is pending, so round trips up to 700 ms keep the lease. The number of calls does not grow with fast answers; a failed one is repeated after 100 ms as before.

Not fixed here: that orders delay the renewals, and that ranks are held by a leader whose lease is about to end (rankgroups).

--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/groupleadership.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/groupleadership.h
@@ -25,7 +25,8 @@
     core::Duration maxRetryDelay = std::chrono::milliseconds(1600);
 };
 
-/// Numbers the calls of one process to the store; only the answer to the latest call is accepted.
+/// Numbers the calls of one process to the store. Only the answer to the latest call is accepted, except for renewals
+/// of the lease.
 using LeaseCall = core::NumberId<struct LeaseCallTag>;
 
 /// Request a lease from the store; answered by leaseGranted() or callFailed().
@@ -88,7 +89,14 @@
         Leading,
     };
 
-    void recordFailure(bool hasLeaseEnded, core::TimePoint now, LeadershipActions &actions);
+    struct Renewal
+    {
+        LeaseCall call;
+        core::TimePoint requestedAt;
+    };
+
+    std::vector<Renewal>::iterator findRenewal(LeaseCall call);
+    void recordFailure(core::TimePoint now);
     void stepDown(core::TimePoint now, LeadershipActions &actions);
 
     const LeadershipSettings m_settings;
@@ -98,9 +106,10 @@
     core::Duration m_conflictDelay{};
     core::TimePoint m_leaseRequestedAt;
     core::TimePoint m_validUntil;
-    std::optional<core::TimePoint> m_renewalRequestedAt;
+    /// Those that are not answered yet, in the order of their requests.
+    std::vector<Renewal> m_renewals;
     std::uint64_t m_lease = 0;
-    /// The call whose answer is pending.
+    /// The latest call.
     LeaseCall m_pendingCall;
     FencingToken m_fencingToken;
 };
--- a/packages/decisions/src/mapswitch/groupleadership.cpp
+++ b/packages/decisions/src/mapswitch/groupleadership.cpp
@@ -1,6 +1,7 @@
 #include "lycheelanding/decisions/mapswitch/groupleadership.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lycheelanding::decisions::mapswitch {
@@ -20,7 +21,7 @@
     m_lease = lease;
     m_validUntil = m_leaseRequestedAt + m_settings.timeToLive;
     if (now >= m_validUntil) {
-        recordFailure(true, now, actions);
+        recordFailure(now);
         return actions;
     }
     m_state = State::Writing;
@@ -37,23 +38,26 @@
         return actions;
     }
     if (!revision || now >= m_validUntil) {
-        recordFailure(true, now, actions);
+        recordFailure(now);
         m_conflictDelay = std::clamp(m_conflictDelay * 2, m_settings.retryDelay, m_settings.maxRetryDelay);
         m_nextAttempt = now + m_conflictDelay;
         return actions;
     }
     m_state = State::Leading;
     m_fencingToken = FencingToken(*revision);
-    m_renewalRequestedAt.reset();
+    m_renewals.clear();
+    m_nextAttempt = m_leaseRequestedAt + m_settings.renewInterval;
     actions.emplace_back(BecameLeader{m_fencingToken});
     return actions;
 }
 
 LeadershipActions GroupLeadership::leaseRenewed(LeaseCall call)
 {
-    if (m_state == State::Leading && m_renewalRequestedAt && call == m_pendingCall) {
-        m_leaseRequestedAt = *std::exchange(m_renewalRequestedAt, std::nullopt);
-        m_validUntil = m_leaseRequestedAt + m_settings.timeToLive;
+    const auto answered = findRenewal(call);
+    if (answered != m_renewals.end()) {
+        m_validUntil = answered->requestedAt + m_settings.timeToLive;
+        // The answers to earlier renewals tell nothing more.
+        m_renewals.erase(m_renewals.begin(), std::next(answered));
     }
     return {};
 }
@@ -61,22 +65,31 @@
 LeadershipActions GroupLeadership::callFailed(LeaseCall call, bool hasLeaseEnded, core::TimePoint now)
 {
     LeadershipActions actions;
-    if (call == m_pendingCall) {
-        recordFailure(hasLeaseEnded, now, actions);
+    if (m_state != State::Leading) {
+        if (call == m_pendingCall) {
+            recordFailure(now);
+        }
+        return actions;
+    }
+    const auto failed = findRenewal(call);
+    if (failed == m_renewals.end()) {
+        return actions;
+    }
+    m_renewals.erase(failed);
+    m_nextAttempt = std::min(m_nextAttempt, now + m_settings.renewInterval / 3);
+    if (hasLeaseEnded) {
+        stepDown(now, actions);
     }
     return actions;
 }
 
-void GroupLeadership::recordFailure(bool hasLeaseEnded, core::TimePoint now, LeadershipActions &actions)
+std::vector<GroupLeadership::Renewal>::iterator GroupLeadership::findRenewal(LeaseCall call)
+{
+    return std::find_if(m_renewals.begin(), m_renewals.end(), [call](const auto &each) { return each.call == call; });
+}
+
+void GroupLeadership::recordFailure(core::TimePoint now)
 {
-    if (m_state == State::Leading) {
-        m_renewalRequestedAt.reset();
-        m_nextAttempt = now + m_settings.renewInterval / 3;
-        if (hasLeaseEnded) {
-            stepDown(now, actions);
-        }
-        return;
-    }
     if (m_state != State::Following) {
         m_state = State::Following;
         m_nextAttempt = now + m_settings.retryDelay;
@@ -96,10 +109,11 @@
     if (m_state == State::Leading) {
         if (now >= m_validUntil) {
             stepDown(now, actions);
-        } else if (!m_renewalRequestedAt && now >= m_nextAttempt
-                   && now - m_leaseRequestedAt >= m_settings.renewInterval) {
-            m_renewalRequestedAt = now;
+        } else if (now >= m_nextAttempt) {
+            // Also while earlier ones are not answered yet: waiting for slow answers would let the lease expire.
+            m_nextAttempt = now + m_settings.renewInterval;
             m_pendingCall = m_pendingCall.next();
+            m_renewals.push_back({m_pendingCall, now});
             actions.emplace_back(RenewLease{m_pendingCall, m_lease});
         }
         return actions;
@@ -126,6 +140,7 @@
         actions.emplace_back(LostLeadership{});
     }
     m_state = State::Following;
+    m_renewals.clear();
     m_nextAttempt = now + m_settings.retryDelay;
 }
 
--- a/packages/decisions/tests/mapswitch/groupleadershiptest.cpp
+++ b/packages/decisions/tests/mapswitch/groupleadershiptest.cpp
@@ -3,8 +3,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace lycheelanding::decisions::mapswitch {
@@ -104,6 +106,29 @@
     EXPECT_TRUE(fenced.tick(0, start + LeadershipSettings().retryDelay - 1ms).empty());
 }
 
+// A leader whose renewals took half a second lost its lease although each was answered, and left its group held.
+TEST(GroupLeadership, slowButAnsweredRenewalsKeepTheLease)
+{
+    constexpr auto roundTrip = 600ms;
+    auto leadership = leaderAtStart();
+    std::deque<std::pair<core::TimePoint, LeaseCall>> pending;
+    std::size_t renewals = 0;
+    for (auto now = start; now < start + 10s; now += 10ms) {
+        while (!pending.empty() && pending.front().first <= now) {
+            leadership.leaseRenewed(pending.front().second);
+            pending.pop_front();
+        }
+        const auto actions = leadership.tick(0, now);
+        ASSERT_FALSE(has<LostLeadership>(actions)) << (now - start) / 1ms << " ms";
+        if (has<RenewLease>(actions)) {
+            ++renewals;
+            pending.emplace_back(now + roundTrip, callOf<RenewLease>(actions));
+        }
+    }
+    // No more calls to the store than with immediate answers.
+    EXPECT_LE(renewals, 10s / LeadershipSettings().renewInterval);
+}
+
 TEST(GroupLeadership, unansweredRenewalsAreNotRepeatedAtEveryTick)
 {
     auto leadership = leaderAtStart();
