Name the backend server in the retry and retryDenied lines

requestOver names only the last backend server, so that a log could not tell whose silence moved a stream.

--- a/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
@@ -57,6 +57,15 @@
 
 std::string_view nameOf(RetryDenial denial);
 
+/// An attempt that failed.
+struct FailedAttemptLine
+{
+    core::Error error;
+    std::string backend;
+    /// Attempts so far.
+    std::size_t attempts = 0;
+};
+
 /// Writes the lines of one request to the event log.
 class RequestLog
 {
@@ -65,8 +74,8 @@
 
     void setName(std::string name) { m_name = std::move(name); }
 
-    void writeRetry(const core::Error &error, std::size_t attempts);
-    void writeRetryDenied(RetryDenial denial, const core::Error &error, std::size_t attempts);
+    void writeRetry(const FailedAttemptLine &failed);
+    void writeRetryDenied(RetryDenial denial, const FailedAttemptLine &failed);
     void writeBroken(const BrokenAnswer &broken, const report::AnswerTimes &times, core::TimePoint now);
     void writeRefused(const core::Error &error, std::size_t attempts, core::ConfigurationVersion version);
     void writeFinished(const RequestOutcome &outcome, const report::AnswerTimes &times, core::TimePoint now);
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -400,7 +400,7 @@
 void ForwardedExchange::execute(const RetryPossible &action)
 {
     if (const auto denial = retryDenial()) {
-        m_log.writeRetryDenied(*denial, action.error, m_tried.size());
+        m_log.writeRetryDenied(*denial, {action.error, m_tried.back().text(), m_tried.size()});
         execute(m_attempts->giveUp(action.error));
         return;
     }
@@ -410,12 +410,12 @@
     const auto decision = m_resources.retries.attemptFailed(m_service, failedAttempt(action.error, action.ran), now());
     if (const auto *giveUp = std::get_if<decisions::retry::GiveUp>(&decision)) {
         m_resources.metrics.increment(report::Counter::RetriesDeniedByBudget);
-        m_log.writeRetryDenied(RetryDenial::Policy, giveUp->error, m_tried.size());
+        m_log.writeRetryDenied(RetryDenial::Policy, {giveUp->error, m_tried.back().text(), m_tried.size()});
         execute(m_attempts->giveUp(giveUp->error));
         return;
     }
     m_resources.metrics.increment(report::Counter::RetriesSent);
-    m_log.writeRetry(action.error, m_tried.size());
+    m_log.writeRetry({action.error, m_tried.back().text(), m_tried.size()});
     if (const auto replacement = std::exchange(m_replacement, std::nullopt)) {
         // The backoff would only delay an attempt whose place is reserved.
         beginAttempt(*replacement);
--- a/packages/forwarding/src/requestlog.cpp
+++ b/packages/forwarding/src/requestlog.cpp
@@ -38,23 +38,25 @@
     return core::nameIn(retryDenialNames, denial);
 }
 
-void RequestLog::writeRetry(const core::Error &error, std::size_t attempts)
+void RequestLog::writeRetry(const FailedAttemptLine &failed)
 {
     m_log.write(LogImportance::Request, "retry",
                 {{"request", m_name},
-                 {"reason", core::nameOf(error.kind)},
-                 {"detail", error.detail},
-                 {"attempts", static_cast<std::int64_t>(attempts)}});
+                 {"reason", core::nameOf(failed.error.kind)},
+                 {"detail", failed.error.detail},
+                 {"backend", failed.backend},
+                 {"attempts", static_cast<std::int64_t>(failed.attempts)}});
 }
 
-void RequestLog::writeRetryDenied(RetryDenial denial, const core::Error &error, std::size_t attempts)
+void RequestLog::writeRetryDenied(RetryDenial denial, const FailedAttemptLine &failed)
 {
     m_log.write(LogImportance::Request, "retryDenied",
                 {{"request", m_name},
                  {"why", nameOf(denial)},
-                 {"reason", core::nameOf(error.kind)},
-                 {"detail", error.detail},
-                 {"attempts", static_cast<std::int64_t>(attempts)}});
+                 {"reason", core::nameOf(failed.error.kind)},
+                 {"detail", failed.error.detail},
+                 {"backend", failed.backend},
+                 {"attempts", static_cast<std::int64_t>(failed.attempts)}});
 }
 
 void RequestLog::writeBroken(const BrokenAnswer &broken, const report::AnswerTimes &times, core::TimePoint now)
--- a/packages/forwarding/tests/requestlogdiagnosistest.cpp
+++ b/packages/forwarding/tests/requestlogdiagnosistest.cpp
@@ -157,6 +157,7 @@
     const auto lines = pipe.linesOf("77");
     const auto denied = lineOf(lines, "retryDenied");
     EXPECT_TRUE(contains(denied, "\"why\":\"attemptsUsed\"")) << denied;
+    EXPECT_TRUE(contains(denied, "\"backend\":\"backend-1\"")) << denied;
     const auto broken = lineOf(lines, "answerBroken");
     EXPECT_TRUE(contains(broken, "\"timeLimitMs\":7000,\"timeLimitOf\":\"route\"")) << broken;
     EXPECT_TRUE(contains(broken, "\"configuration\":1")) << broken;
