Do not move an inactive stream with too little time left to resume it

A stream was moved to another backend server until 20 ms before its deadline. The retry was spent in vain, and the backend server that might have finished was given up.

The replacement now counts that time as the expected duration of the attempt. As a side effect a retry that was allowed cannot be refused any more because time has passed between the two questions.

Failed before: BrokenStreams.inactiveStreamIsKeptWhenTooLittleTimeIsLeftToResumeIt (two requests to backend servers, answer cut).

--- a/packages/forwarding/include/lycheelanding/forwarding/waitlimits.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/waitlimits.h
@@ -22,6 +22,8 @@
     core::Duration inactivityTimeout{};
     /// The same for any stream while the VM of its backend server is unresponsive.
     core::Duration unresponsiveVmTimeout{};
+    /// What another backend server needs to resume the stream; with less time left it is not tried.
+    core::Duration resumeTime{};
 };
 
 /// The error of a stream that has had no event for `inactivity`; empty while its backend server counts as slow.
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -326,8 +326,9 @@
 {
     auto request = backendRequirements();
     request.inactivity = inactivity;
-    const bool isAllowed
-        = !retryDenial() && m_resources.retries.allowsRetry(m_service, failedAttempt(error, core::Ran::Unknown), now());
+    auto failed = failedAttempt(error, core::Ran::Unknown);
+    failed.expectedDuration = m_limits.resumeTime;
+    const bool isAllowed = !retryDenial() && m_resources.retries.allowsRetry(m_service, failed, now());
     return isAllowed ? reserveBackend(request) : std::nullopt;
 }
 
--- a/packages/forwarding/src/waitlimits.cpp
+++ b/packages/forwarding/src/waitlimits.cpp
@@ -70,7 +70,8 @@
             arrival + percentOf(route.targetLatency, inTimePercent),
             arrival + unsaturatedWait,
             percentOf(clientTimeout, inactivityPercent),
-            percentOf(clientTimeout, unresponsiveVmPercent)};
+            percentOf(clientTimeout, unresponsiveVmPercent),
+            percentOf(clientTimeout, 100 - inactivityPercent)};
 }
 
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/tests/brokenstreamstest.cpp
+++ b/packages/forwarding/tests/brokenstreamstest.cpp
@@ -156,6 +156,23 @@
     EXPECT_TRUE(answer.ends_with(lastChunk)) << answer;
 }
 
+// Streams were given up for another backend server although too little time was left for it to begin its answer.
+TEST(BrokenStreams, inactiveStreamIsKeptWhenTooLittleTimeIsLeftToResumeIt)
+{
+    EntrySimulation simulation;
+    simulation.configure(RouteKind::Stream, std::chrono::milliseconds(3500));
+    int requestCount = 0;
+    const ScriptedResponse afterPrefill{"", false, false, secondHead + chunk(event(2)) + lastChunk,
+                                        std::chrono::milliseconds(1500)};
+    const auto script = firstThenLater(requestCount, slowStream(), afterPrefill);
+    simulation.addBackend(script);
+    simulation.addBackend(script);
+    const auto answer = simulation.exchange(callerRequest("POST", "prompt"));
+    EXPECT_EQ(requestCount, 1);
+    EXPECT_NE(answer.find(event(2)), std::string::npos) << answer;
+    EXPECT_TRUE(answer.ends_with(lastChunk)) << answer;
+}
+
 // Streams of a stalled group were given up for places at other ranks of it, which stall too: the retry budget was spent
 // and the places were taken in vain.
 TEST(BrokenStreams, inactiveStreamIsNotResumedInItsStalledGroup)
