--- a/packages/forwarding/tests/brokenstreamstest.cpp
+++ b/packages/forwarding/tests/brokenstreamstest.cpp
@@ -198,14 +198,15 @@
 {
     EntrySimulation simulation;
     simulation.configure(RouteKind::Stream);
+    ScriptedResponse rest{secondHead + chunk(event(2)) + lastChunk};
     constexpr int backendCount = 3;
     int first = 0;
     int second = 0;
     for (int number = 1; number <= backendCount; ++number) {
-        simulation.addBackend([&simulation, &first, &second, number](const std::string &) {
+        simulation.addBackend([&simulation, &rest, &first, &second, number](const std::string &) {
             if (first != 0) {
                 second = number;
-                return ScriptedResponse{secondHead + chunk(event(2)) + lastChunk};
+                return rest;
             }
             first = number;
             for (int other = 1; other <= backendCount; ++other) {
