--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -125,10 +125,10 @@
     }
 }
 
-std::optional<ReservedBackend> ForwardedExchange::reserveBackend()
+std::optional<ReservedBackend> ForwardedExchange::reserveBackend(const BackendRequirements &request)
 {
     m_resources.lastAttempt = m_resources.lastAttempt.next();
-    const auto chosen = m_resources.backends.selectBackend(backendRequirements(), m_resources.lastAttempt, now());
+    const auto chosen = m_resources.backends.selectBackend(request, m_resources.lastAttempt, now());
     if (!core::isOk(chosen)) {
         return std::nullopt;
     }
@@ -137,7 +137,7 @@
 
 bool ForwardedExchange::trySend()
 {
-    const auto reserved = reserveBackend();
+    const auto reserved = reserveBackend(backendRequirements());
     if (reserved) {
         beginAttempt(*reserved);
     }
@@ -250,7 +250,7 @@
         execute(m_attempts->answerStarted(attempt));
     }
     if (m_answer.isCallerTooSlow()) {
-        onFailed(attempt, {core::ErrorKind::Cancelled, "the caller does not read its answer"});
+        execute(BreakAnswer{{core::ErrorKind::Cancelled, "the caller does not read its answer"}});
     }
 }
 
@@ -321,11 +321,15 @@
     execute(m_attempts->lost(attempt, backendLostError(error), now()));
 }
 
-std::optional<ReservedBackend> ForwardedExchange::reserveReplacement(const core::Error &error)
+std::optional<ReservedBackend> ForwardedExchange::reserveReplacement(const core::Error &error,
+                                                                     core::Duration inactivity)
 {
-    const bool isAllowed
-        = !retryDenial() && m_resources.retries.allowsRetry(m_service, failedAttempt(error, core::Ran::Unknown), now());
-    return isAllowed ? reserveBackend() : std::nullopt;
+    auto request = backendRequirements();
+    request.inactivity = inactivity;
+    auto failed = failedAttempt(error, core::Ran::Unknown);
+    failed.expectedDuration = m_limits.resumeTime;
+    const bool isAllowed = !retryDenial() && m_resources.retries.allowsRetry(m_service, failed, now());
+    return isAllowed ? reserveBackend(request) : std::nullopt;
 }
 
 void ForwardedExchange::replaceInactiveAttempt()
@@ -340,7 +344,7 @@
         return;
     }
     // The replacement is reserved first, since the inactive attempt may still be the only one that can finish.
-    m_replacement = reserveReplacement(*error);
+    m_replacement = reserveReplacement(*error, inactivity);
     if (!m_replacement) {
         return;
     }
@@ -397,7 +401,7 @@
 void ForwardedExchange::execute(const RetryPossible &action)
 {
     if (const auto denial = retryDenial()) {
-        m_log.writeRetryDenied(*denial, action.error, m_tried.size());
+        m_log.writeRetryDenied(*denial, {action.error, m_tried.back().text(), m_tried.size()});
         execute(m_attempts->giveUp(action.error));
         return;
     }
@@ -407,12 +411,12 @@
     const auto decision = m_resources.retries.attemptFailed(m_service, failedAttempt(action.error, action.ran), now());
     if (const auto *giveUp = std::get_if<decisions::retry::GiveUp>(&decision)) {
         m_resources.metrics.increment(report::Counter::RetriesDeniedByBudget);
-        m_log.writeRetryDenied(RetryDenial::Policy, giveUp->error, m_tried.size());
+        m_log.writeRetryDenied(RetryDenial::Policy, {giveUp->error, m_tried.back().text(), m_tried.size()});
         execute(m_attempts->giveUp(giveUp->error));
         return;
     }
     m_resources.metrics.increment(report::Counter::RetriesSent);
-    m_log.writeRetry(action.error, m_tried.size());
+    m_log.writeRetry({action.error, m_tried.back().text(), m_tried.size()});
     if (const auto replacement = std::exchange(m_replacement, std::nullopt)) {
         // The backoff would only delay an attempt whose place is reserved.
         beginAttempt(*replacement);
@@ -455,8 +459,6 @@
     finish("broken", 0);
 }
 
-void ForwardedExchange::execute(const RequestDone &) { }
-
 void ForwardedExchange::endAttempt(Outcome outcome)
 {
     if (!m_attempt) {
