--- a/standins/rounds/soakcallers.cpp
+++ b/standins/rounds/soakcallers.cpp
@@ -74,10 +74,11 @@
     }
 }
 
-bool saysNotRun(const std::string &body)
+/// All requests of the soak are valid, so a refusal must let the caller try again.
+bool isRetryableRefusal(const std::string &body)
 {
     const auto problem = Json::parse(body, nullptr, false);
-    return problem.is_object() && problem.value("ran", "") == "no";
+    return problem.is_object() && problem.value("ran", "") == "no" && problem.contains("retryAfterMs");
 }
 
 } // namespace
@@ -163,7 +164,7 @@
     if (answer.end == ExchangeEnd::Answered && answer.status == statusOk && isOwnAnswer(request, answer.body)) {
         return SoakOutcome::Answered;
     }
-    if (answer.end == ExchangeEnd::Answered && answer.status != statusOk && saysNotRun(answer.body)) {
+    if (answer.end == ExchangeEnd::Answered && answer.status != statusOk && isRetryableRefusal(answer.body)) {
         return SoakOutcome::Refused;
     }
     const auto quotedFrom = answer.body.size() > quotedBytes ? answer.body.size() - quotedBytes : 0;
--- a/standins/rounds/soakcallers.h
+++ b/standins/rounds/soakcallers.h
@@ -30,7 +30,7 @@
 enum class SoakOutcome : std::uint8_t {
     /// The caller has the whole of its own answer.
     Answered,
-    /// Refused with an answer that says that the request has not run.
+    /// Refused with an answer that says that the request has not run and when to try again.
     Refused,
     /// The connection was closed before the request was read.
     Unread,
--- a/standins/rounds/soakround.h
+++ b/standins/rounds/soakround.h
@@ -32,9 +32,9 @@
 /// Tests guarantees 2, 3, 4 and 6 together: each entry, side and backend server and the operator have their own series
 /// of events, which overlap. Entries and sides get SIGTERM and are started again, backend servers become slow or silent
 /// for up to two seconds, and the operator changes time limits, routes and the length of the document, while callers
-/// use their connections until the entries close them. Each caller must get the whole of its own answer or a refusal
-/// that says truly that its request has not run; requests with an idempotency key run at most once, and every process
-/// exits with code 0.
+/// use their connections until the entries close them. Each caller must get the whole of its own answer, or a refusal
+/// that says truly that its request has not run and when to try again; requests with an idempotency key run at most
+/// once, and every process exits with code 0.
 SoakResult runSoakRound(std::uint64_t seed, const SoakPlan &plan);
 
 } // namespace lycheelanding::rounds
