--- a/standins/rounds/soakoperator.cpp
+++ b/standins/rounds/soakoperator.cpp
@@ -80,7 +80,7 @@
     const auto added = m_addedServices > 0 ? 0 : minServices + random.nextBelow(servicesRange);
     for (std::size_t index = 0; index < added; ++index) {
         const auto name = std::to_string(m_version) + "-" + std::to_string(index);
-        const Json service{{"id", "added-" + name}, {"pathPrefix", "/added/" + name}, {"vms", {"plain-1"}}};
+        const Json service{{"id", "added-" + name}, {"pathPrefix", "/added/" + name}, {"vms", Json::array()}};
         patch.push_back({{"op", "add"}, {"path", "/services/-"}, {"value", service}});
     }
     return patch;
