Entry: a configured model or service without a routable side is unavailable, not unknown

While all sides of a model or service restarted, callers got 404 unknownModel without Retry-After, which tells them to give up, and the refusal did not count against availability. The selector knows only routable candidates; the entry now asks the configuration before it says unknown, and answers 503 noBackendServer with Retry-After.

Test: BackendTableTest.configuredServiceWithoutRoutableVmsIsUnavailableAndNotUnknown failed before. Ruled out: an unknown model in the request, which the classifier refuses before.

--- a/packages/daemon/src/entry/backendtable.cpp
+++ b/packages/daemon/src/entry/backendtable.cpp
@@ -26,6 +26,7 @@
 {
     const std::scoped_lock lock(m_mutex);
     m_document = document;
+    m_configured = configuredCandidates();
     configureLimits();
     decisions::membership::MembershipSettings membership;
     membership.suspectAfter = std::chrono::milliseconds(document.membership.heartbeatTimeoutMs);
@@ -168,12 +169,13 @@
 {
     std::vector<BackendCandidate> routable;
     std::vector<core::VmId> vms;
-    for (auto &candidate : configuredCandidates()) {
-        const auto found = m_members.find(candidate.vm);
+    for (const auto &configured : m_configured) {
+        const auto found = m_members.find(configured.vm);
         if (found == m_members.end() || !found->second.isBackendReachable
-            || !m_membership.isRoutable(candidate.vm, now)) {
+            || !m_membership.isRoutable(configured.vm, now)) {
             continue;
         }
+        auto candidate = configured;
         candidate.dataCentre = found->second.dataCentre;
         vms.push_back(candidate.vm);
         routable.push_back(std::move(candidate));
@@ -203,10 +205,22 @@
         m_selector.requestSent(attempt, core::valueOf(choice), request.expectedTokens, now);
         m_limits.requestSent(core::valueOf(choice).vm);
         m_members[core::valueOf(choice).vm].attempts.insert(attempt);
+        return choice;
+    }
+    // The selector knows only the routable backend servers.
+    if (core::errorOf(choice).kind == core::ErrorKind::UnknownModel && isConfigured(request)) {
+        return core::Error{core::ErrorKind::NoBackendServer, "no backend server of this kind is routable"};
     }
     return choice;
 }
 
+bool BackendTable::isConfigured(const decisions::routing::RouteRequest &request) const
+{
+    return std::any_of(m_configured.begin(), m_configured.end(), [&request](const auto &candidate) {
+        return decisions::routing::BackendSelector::serves(candidate, request);
+    });
+}
+
 void BackendTable::firstToken(decisions::routing::AttemptId attempt, const core::VmId &vm, std::uint64_t promptTokens,
                               core::Duration latency)
 {
--- a/packages/daemon/src/entry/backendtable.h
+++ b/packages/daemon/src/entry/backendtable.h
@@ -47,7 +47,8 @@
     void tick();
 
     /// Selects a backend server and counts the attempt as sent to it; requestEnded() must follow. Fails with Overloaded
-    /// when all suitable backend servers are at their concurrency limit, otherwise with the selector's error.
+    /// when all suitable backend servers are at their concurrency limit, with NoBackendServer when none is routable,
+    /// and otherwise with the selector's error.
     core::Result<decisions::routing::Choice> chooseBackend(const decisions::routing::RouteRequest &request,
                                                            decisions::routing::AttemptId attempt);
     void firstToken(decisions::routing::AttemptId attempt, const core::VmId &vm, std::uint64_t promptTokens,
@@ -80,10 +81,14 @@
     void configureLimits();
     void updateCandidates(core::TimePoint now);
     std::vector<decisions::routing::BackendCandidate> configuredCandidates() const;
+    /// Whether one of the configured candidates serves the request.
+    bool isConfigured(const decisions::routing::RouteRequest &request) const;
 
     core::SystemClock m_clock;
     mutable std::mutex m_mutex;
     configuration::Document m_document;
+    /// The candidates of the configuration, routable or not.
+    std::vector<decisions::routing::BackendCandidate> m_configured;
     std::size_t m_liveEntries = 1;
     decisions::membership::BackendMembership m_membership;
     std::map<core::VmId, Member> m_members;
--- a/packages/daemon/tests/backendtabletest.cpp
+++ b/packages/daemon/tests/backendtabletest.cpp
@@ -92,6 +92,20 @@
     EXPECT_EQ(sendOne(Outcome::Answered), firstVm);
 }
 
+// Guards against a 404 without Retry-After for a configured service or model while all of its sides restart.
+TEST_F(BackendTableTest, configuredServiceWithoutRoutableVmsIsUnavailableAndNotUnknown)
+{
+    const auto errorFor = [this](const std::string &service) {
+        return core::errorOf(table.chooseBackend(requestFor(service), AttemptId(++attempts))).kind;
+    };
+    EXPECT_EQ(errorFor("orders"), core::ErrorKind::NoBackendServer);
+    EXPECT_EQ(errorFor("invoices"), core::ErrorKind::UnknownModel);
+    sendHeartbeat(table, firstVm, firstIncarnation);
+    ASSERT_EQ(sendOne(Outcome::Answered), firstVm);
+    table.linkLost(firstVm);
+    EXPECT_EQ(errorFor("orders"), core::ErrorKind::NoBackendServer);
+}
+
 TEST_F(BackendTableTest, newConfigurationAppliesWithoutAChangeOfVms)
 {
     sendHeartbeat(table, firstVm, firstIncarnation);
--- a/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
@@ -46,6 +46,9 @@
 public:
     BackendSelector(SelectorSettings settings, std::uint64_t seed);
 
+    /// Whether the candidate has the service, or the model, version and adapter, of the request.
+    static bool serves(const BackendCandidate &candidate, const RouteRequest &request);
+
     /// Replaces the candidates; those that remain keep their load and health.
     void setCandidates(std::vector<BackendCandidate> candidates);
     /// Sets the number of entries that send to the same backend servers, including this one.
@@ -110,7 +113,6 @@
         double cost = 0.0;
     };
 
-    static bool serves(const BackendCandidate &candidate, const RouteRequest &request);
     std::vector<Rank> ranksOf(const BackendCandidate &candidate);
     Rank *rankOf(const core::VmId &vm, core::RankIndex rank);
     void recordTokensDone(Attempt &attempt, std::uint64_t tokens, core::TimePoint now);
