Entry: takes requests only once its first configuration is applied

An entry that had just started refused configured organisations with 403 unknownOrganisation ("not configured", "has no share"): the updater was ready from the installer's decision on, before the table and its observers had the version. Readiness now waits for the observers of the first version.

Test: ConfigurationTableTest.versionIsAppliedOnceAllObserversHaveIt. Not covered: an organisation added by a later patch can be refused as without a share until admission control has the patch.

--- a/packages/daemon/src/shared/configurationtable.cpp
+++ b/packages/daemon/src/shared/configurationtable.cpp
@@ -49,6 +49,7 @@
     for (const auto &observer : observers) {
         observer(installed);
     }
+    m_isApplied = true;
 }
 
 ActiveConfigurationPointer ConfigurationTable::active() const
--- a/packages/daemon/src/shared/configurationtable.h
+++ b/packages/daemon/src/shared/configurationtable.h
@@ -4,6 +4,7 @@
 #include "lycheelanding/core/ids.h"
 #include "lycheelanding/core/result.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -41,6 +42,8 @@
 
     ActiveConfigurationPointer active() const;
     core::ConfigurationVersion version() const;
+    /// Whether all observers have been called for a version. Before that, parts of the process lack the configuration.
+    bool isApplied() const { return m_isApplied; }
 
 private:
     void notify(const ActiveConfigurationPointer &installed);
@@ -48,6 +51,7 @@
     /// Lock order: m_notifyMutex, then the locks of the observers, then m_mutex.
     std::mutex m_notifyMutex;
     core::ConfigurationVersion m_notifiedVersion;
+    std::atomic<bool> m_isApplied = false;
     mutable std::mutex m_mutex;
     ActiveConfigurationPointer m_active;
     std::vector<Observer> m_observers;
--- a/packages/daemon/src/shared/configurationupdater.cpp
+++ b/packages/daemon/src/shared/configurationupdater.cpp
@@ -211,8 +211,10 @@
 
 bool ConfigurationUpdater::isReady() const
 {
+    // The installer counts a version from its decision to install it, which is before the table and its observers have
+    // it.
     const std::scoped_lock lock(m_mutex);
-    return m_installer.isReady();
+    return m_installer.isReady() && m_table.isApplied();
 }
 
 bool ConfigurationUpdater::isStale() const
--- a/packages/daemon/tests/configurationtabletest.cpp
+++ b/packages/daemon/tests/configurationtabletest.cpp
@@ -36,4 +36,19 @@
     EXPECT_TRUE(std::is_sorted(notifiedVersions.begin(), notifiedVersions.end()));
 }
 
+// Guards against an entry that refuses configured organisations as unknown just after its start: it took requests once
+// it knew of a version, before the version was installed.
+TEST(ConfigurationTableTest, versionIsAppliedOnceAllObserversHaveIt)
+{
+    ConfigurationTable table;
+    std::vector<bool> isAppliedInObserver;
+    for (int number = 0; number < 2; ++number) {
+        table.addObserver([&](const auto &) { isAppliedInObserver.push_back(table.isApplied()); });
+    }
+    EXPECT_FALSE(table.isApplied());
+    table.install(core::ConfigurationVersion(1), std::string(configuration::emptyDocumentText()));
+    EXPECT_EQ(isAppliedInObserver, (std::vector<bool>{false, false}));
+    EXPECT_TRUE(table.isApplied());
+}
+
 } // namespace lycheelanding::daemon::shared
