--- a/standins/rounds/soakround.cpp
+++ b/standins/rounds/soakround.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 using harness::Deployment;
-using harness::EntryNode;
 using harness::SideNode;
 using Json = nlohmann::json;
 using Milliseconds = std::chrono::milliseconds;
