--- a/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -64,6 +65,8 @@
     RequestLog(EventLog &log, core::TimePoint arrival) : m_log(log), m_arrival(arrival) { }
 
     void setName(std::string name) { m_name = std::move(name); }
+    /// The request is sent to a backend server; the first one ends its wait at the entry.
+    void recordSent(core::TimePoint now) { m_firstSent = m_firstSent.value_or(now); }
 
     void writeRetry(const core::Error &error, std::size_t attempts);
     void writeRetryDenied(RetryDenial denial, const core::Error &error, std::size_t attempts);
@@ -74,6 +77,7 @@
 private:
     EventLog &m_log;
     const core::TimePoint m_arrival;
+    std::optional<core::TimePoint> m_firstSent;
     /// Id of the attempt as the caller gave it.
     std::string m_name;
 };
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -160,6 +160,7 @@
     m_attempt->id = reserved.attempt;
     m_attempt->backend = reserved.backend;
     m_attempt->startedAt = now();
+    m_log.recordSent(m_attempt->startedAt);
     m_answer.restart();
     m_tried.push_back(m_attempt->backend.id);
     m_attempt->connection = m_resources.pool.acquire(m_attempt->backend.endpoint);
--- a/packages/forwarding/src/requestlog.cpp
+++ b/packages/forwarding/src/requestlog.cpp
@@ -90,6 +90,7 @@
                  {"backend", outcome.backend},
                  {"attempts", static_cast<std::int64_t>(outcome.attempts)},
                  {"ms", millisecondsOf(now - m_arrival)},
+                 {"waitedMs", millisecondsOf(m_firstSent.value_or(now) - m_arrival)},
                  {"firstMs", times.first() ? millisecondsOf(*times.first() - m_arrival) : -1},
                  {"longestPauseMs", millisecondsOf(times.maxInterval())}});
 }
--- a/packages/forwarding/tests/requestlogdiagnosistest.cpp
+++ b/packages/forwarding/tests/requestlogdiagnosistest.cpp
@@ -72,6 +72,16 @@
     return line.find(part) != std::string::npos;
 }
 
+/// Value of a number in a log line, as it is written.
+std::string numberIn(const std::string &line, const std::string &name)
+{
+    const auto key = "\"" + name + "\":";
+    const auto start = line.find(key);
+    return start == std::string::npos
+        ? std::string()
+        : line.substr(start + key.size(), line.find_first_of(",}", start) - start - key.size());
+}
+
 } // namespace
 
 TEST(RequestLogDiagnosis, unreadLogBlocksNoRequest)
@@ -105,6 +115,20 @@
     EXPECT_TRUE(contains(lineOf(lines, "requestOver"), "\"attempts\":0"));
 }
 
+// Late answers: waits at the entry could not be told from queues at the engine (scale-1 on 64 engines).
+TEST(RequestLogDiagnosis, requestThatWasNeverSentLogsThatItWaitedAllTheTime)
+{
+    LogPipe pipe;
+    EntrySimulation simulation(pipe.descriptor());
+    simulation.configure(RouteKind::NonIdempotent, std::chrono::milliseconds(200));
+    simulation.entry().backendsListed();
+    simulation.exchange(callerRequest("POST", "fee=1"));
+    simulation.log().flush();
+    const auto requestOver = lineOf(pipe.linesOf("77"), "requestOver");
+    EXPECT_FALSE(numberIn(requestOver, "waitedMs").empty()) << requestOver;
+    EXPECT_EQ(numberIn(requestOver, "waitedMs"), numberIn(requestOver, "ms")) << requestOver;
+}
+
 TEST(RequestLogDiagnosis, unknownOutcomeLogsTheBackendAndASingleAttempt)
 {
     LogPipe pipe;
