--- a/packages/forwarding/tests/passdurationmodeltest.cpp
+++ b/packages/forwarding/tests/passdurationmodeltest.cpp
@@ -99,4 +99,32 @@
     EXPECT_GT(model.maxRunning(limit, now).value_or(0.0), 12.0);
 }
 
+// Two events that arrive together are no pass. With 60 streams of a group each second window had such an interval, so
+// that the limit was 1,400 requests, and passes stayed too long for 16 s (scale-1 on 64 engines).
+TEST(PassDurationModelTest, shortIntervalOfOneStreamIsNotMistakenForAPass)
+{
+    constexpr int streams = 60;
+    PassDurationModel model(steps);
+    auto now = start;
+    for (int pass = 0; pass < 20; ++pass) {
+        now += 140ms;
+        for (int stream = 0; stream < streams; ++stream) {
+            model.recordInterval(stream == 7 ? 0ms : 140ms, now);
+        }
+        model.endWindow(12.0, now);
+    }
+    EXPECT_LT(model.maxRunning(limit, now).value_or(0.0), 12.0);
+}
+
+TEST(PassDurationModelTest, aSingleStreamShowsThePassDuration)
+{
+    PassDurationModel model(steps);
+    auto now = start;
+    for (int pass = 0; pass < 20; ++pass) {
+        now += 140ms;
+        recordAndUpdate(model, 140ms, 12.0, now);
+    }
+    EXPECT_LT(model.maxRunning(limit, now).value_or(0.0), 12.0);
+}
+
 } // namespace lycheelanding::forwarding
