RankLoadEstimator: work that is done counts once, not once per entry

Cause: an entry that saw one request end took off one for each of the six entries, so that an engine with 12 requests for 10 slots looked as if it had 6, and was refilled. Sends are alike, as entries see the same status updates; ends are not.

--- a/packages/decisions/include/lycheelanding/decisions/routing/rankloadestimator.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/rankloadestimator.h
@@ -8,7 +8,8 @@
 namespace lycheelanding::decisions::routing {
 
 /// Estimates the outstanding work of one rank: the last load report, corrected by the work that this process has sent
-/// and seen completed since the measurement. Assumes that the other entries send and complete as much as this one.
+/// and seen completed since the measurement. The other entries have the same reports, so they are assumed to send as
+/// much to this rank as this entry; work is completed independently, so each completion counts once.
 class RankLoadEstimator
 {
 public:
@@ -28,18 +29,21 @@
     struct Change
     {
         core::TimePoint at;
-        double tokens = 0.0;
+        double sent = 0.0;
+        double done = 0.0;
     };
 
-    void recordChange(double tokens, core::TimePoint now);
+    void recordChange(double sent, double done, core::TimePoint now);
+    void removeOldestChange();
 
     std::uint64_t m_inFlight = 0;
     double m_reported = 0.0;
     bool m_hasReport = false;
     core::TimePoint m_measuredAt;
-    /// Local changes after m_measuredAt, oldest first, and their sum.
+    /// Local changes after m_measuredAt, oldest first, and their sums.
     std::deque<Change> m_changes;
-    double m_changeSum = 0.0;
+    double m_sentSum = 0.0;
+    double m_doneSum = 0.0;
 };
 
 } // namespace lycheelanding::decisions::routing
--- a/packages/decisions/src/routing/rankloadestimator.cpp
+++ b/packages/decisions/src/routing/rankloadestimator.cpp
@@ -23,22 +23,21 @@
     m_reported = static_cast<double>(tokens);
     m_measuredAt = measuredAt;
     while (!m_changes.empty() && m_changes.front().at <= measuredAt) {
-        m_changeSum -= m_changes.front().tokens;
-        m_changes.pop_front();
+        removeOldestChange();
     }
 }
 
 void RankLoadEstimator::sent(std::uint64_t tokens, core::TimePoint now)
 {
     m_inFlight += tokens;
-    recordChange(static_cast<double>(tokens), now);
+    recordChange(static_cast<double>(tokens), 0.0, now);
 }
 
 void RankLoadEstimator::done(std::uint64_t tokens, core::TimePoint now)
 {
     const std::uint64_t counted = std::min(tokens, m_inFlight);
     m_inFlight -= counted;
-    recordChange(-static_cast<double>(counted), now);
+    recordChange(0.0, static_cast<double>(counted), now);
 }
 
 bool RankLoadEstimator::hasReport(core::TimePoint now) const
@@ -56,22 +55,30 @@
     // A report becomes obsolete as the requests that it counted end, so its weight decays.
     const double age = std::chrono::duration<double>(now - m_measuredAt).count();
     const double weight = std::exp(-std::max(age, 0.0) / std::chrono::duration<double>(timeConstant).count());
-    const double corrected = std::max(local, m_reported + entries * m_changeSum);
+    const double corrected = std::max(local, m_reported + entries * m_sentSum - m_doneSum);
     return weight * corrected + (1.0 - weight) * local * entries;
 }
 
-void RankLoadEstimator::recordChange(double tokens, core::TimePoint now)
+void RankLoadEstimator::recordChange(double sent, double done, core::TimePoint now)
 {
-    m_changeSum += tokens;
+    m_sentSum += sent;
+    m_doneSum += done;
     if (!m_changes.empty() && now - m_changes.back().at < changeResolution) {
-        m_changes.back().tokens += tokens;
+        m_changes.back().sent += sent;
+        m_changes.back().done += done;
         return;
     }
-    m_changes.push_back({now, tokens});
+    m_changes.push_back({now, sent, done});
     while (now - m_changes.front().at > maxReportAge) {
-        m_changeSum -= m_changes.front().tokens;
-        m_changes.pop_front();
+        removeOldestChange();
     }
 }
 
+void RankLoadEstimator::removeOldestChange()
+{
+    m_sentSum -= m_changes.front().sent;
+    m_doneSum -= m_changes.front().done;
+    m_changes.pop_front();
+}
+
 } // namespace lycheelanding::decisions::routing
