--- a/packages/forwarding/include/lycheelanding/forwarding/passdurationmodel.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/passdurationmodel.h
@@ -4,6 +4,7 @@
 #include "lycheelanding/forwarding/forwardingconfiguration.h"
 
 #include <optional>
+#include <vector>
 
 namespace lycheelanding::forwarding {
 
@@ -29,9 +30,9 @@
     double baselineSeconds(double running) const;
 
     StepTimes m_steps;
-    /// Minimum interval of the current window: all streams of a group share its passes, longer intervals have other
-    /// causes.
-    std::optional<core::Duration> m_minInterval;
+    /// Intervals of the current window. All streams of a group share its passes, so the median is a pass duration;
+    /// events that arrive together and streams that wait for a prefill differ.
+    std::vector<core::Duration> m_intervals;
     core::TimePoint m_windowEnd;
     /// Measured pass duration divided by that of a pass in which only the running requests take time; 0 if unknown.
     double m_slowdown = 0.0;
--- a/packages/forwarding/src/passdurationmodel.cpp
+++ b/packages/forwarding/src/passdurationmodel.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
-#include <utility>
+#include <cstddef>
 
 namespace lycheelanding::forwarding {
 
@@ -29,18 +29,22 @@
 
 bool PassDurationModel::recordInterval(core::Duration interval, core::TimePoint now)
 {
-    m_minInterval = std::min(interval, m_minInterval.value_or(interval));
+    m_intervals.push_back(interval);
     return now >= m_windowEnd;
 }
 
 void PassDurationModel::endWindow(double meanRunning, core::TimePoint now)
 {
-    if (!m_minInterval) {
+    if (m_intervals.empty()) {
         return;
     }
+    const auto median = m_intervals.begin() + static_cast<std::ptrdiff_t>((m_intervals.size() - 1) / 2);
+    std::nth_element(m_intervals.begin(), median, m_intervals.end());
+    const auto passDuration = *median;
+    m_intervals.clear();
     m_windowEnd = now + windowLength;
     const double baseline = baselineSeconds(meanRunning);
-    const double slowdown = inSeconds(*std::exchange(m_minInterval, std::nullopt)) / baseline;
+    const double slowdown = inSeconds(passDuration) / baseline;
     const bool isValid = m_slowdown > 0.0 && now - m_updatedAt < validityPeriod;
     m_slowdown = isValid ? m_slowdown + windowWeight * (slowdown - m_slowdown) : slowdown;
     m_updatedAt = now;
