--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/rankcommands.h
@@ -105,9 +105,9 @@
 struct RankCommandSettings
 {
     /// Time after which an unanswered command is sent again; engines answer within milliseconds.
-    core::Duration answerTimeout = std::chrono::milliseconds(600);
+    core::Duration answerTimeout = std::chrono::milliseconds(30);
     /// Time after which an unanswered command counts as lost rather than slow.
-    core::Duration lostAfter = std::chrono::milliseconds(1500);
+    core::Duration lostAfter = std::chrono::milliseconds(80);
 };
 
 /// Sends the commands of one RankGate to an engine, one at a time. An unanswered command is sent again until it is
