--- a/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -73,6 +74,8 @@
     RequestLog(EventLog &log, core::TimePoint arrival) : m_log(log), m_arrival(arrival) { }
 
     void setName(std::string name) { m_name = std::move(name); }
+    /// The request is sent to a backend server; the first one ends its wait at the entry.
+    void recordSent(core::TimePoint now) { m_firstSent = m_firstSent.value_or(now); }
 
     void writeRetry(const FailedAttemptLine &failed);
     void writeRetryDenied(RetryDenial denial, const FailedAttemptLine &failed);
@@ -83,6 +86,7 @@
 private:
     EventLog &m_log;
     const core::TimePoint m_arrival;
+    std::optional<core::TimePoint> m_firstSent;
     /// Id of the attempt as the caller gave it.
     std::string m_name;
 };
