AsyncHttpClient: destruction does not call the handlers of running requests

Cause: the client of the store is destroyed after the watches that use it, and its destructor cancelled the watch in progress, whose handler then erased the call from the destroyed map of the watch and could begin new calls. The class: a destructor that calls back owners that may be gone. cancel() and cancelAll() still report Cancelled; only destruction is silent.

Test: AsyncHttpClient.destructionCallsNoHandlers failed before (handler called).

--- a/packages/http/include/lycheelanding/http/asynchttpclient.h
+++ b/packages/http/include/lycheelanding/http/asynchttpclient.h
@@ -16,7 +16,7 @@
 {
 public:
     explicit AsyncHttpClient(asio::any_io_executor executor);
-    /// Cancels the running requests.
+    /// Ends the running requests without calling their handlers, whose owner may be gone.
     ~AsyncHttpClient();
     AsyncHttpClient(const AsyncHttpClient &) = delete;
     AsyncHttpClient &operator=(const AsyncHttpClient &) = delete;
@@ -24,6 +24,7 @@
     HttpTransferId start(HttpClientRequest request, HttpClientHandlers handlers);
     /// Buffers the complete answer before it calls `onDone`.
     HttpTransferId fetch(HttpClientRequest request, std::function<void(core::Result<HttpResponse>)> onDone);
+    // The handlers of cancelled requests get a Cancelled error.
     void cancel(HttpTransferId id);
     void cancelAll();
 
--- a/packages/http/src/asynchttpclient.cpp
+++ b/packages/http/src/asynchttpclient.cpp
@@ -33,7 +33,10 @@
 
 AsyncHttpClient::~AsyncHttpClient()
 {
-    cancelAll();
+    while (!m_d->running.empty()) {
+        TransferPointer(m_d->running.begin()->second)->discard();
+    }
+    m_d->pool.closeAll();
 }
 
 HttpTransferId AsyncHttpClient::start(HttpClientRequest request, HttpClientHandlers handlers)
--- a/packages/http/src/private/httptransfer.cpp
+++ b/packages/http/src/private/httptransfer.cpp
@@ -166,6 +166,12 @@
     finish(transferError(core::ErrorKind::Cancelled, "the request was cancelled"));
 }
 
+void HttpTransfer::discard()
+{
+    m_handlers = {};
+    cancel();
+}
+
 void HttpTransfer::finish(const core::Status &status)
 {
     if (std::exchange(m_isFinished, true)) {
--- a/packages/http/src/private/httptransfer.h
+++ b/packages/http/src/private/httptransfer.h
@@ -31,6 +31,8 @@
 
     void start();
     void cancel();
+    /// Cancels the transfer without calling its handlers.
+    void discard();
 
 private:
     void sendOnNewConnection();
--- a/packages/http/tests/httpclienttest.cpp
+++ b/packages/http/tests/httpclienttest.cpp
@@ -1,5 +1,6 @@
 #include "lycheelanding/http/httpclient.h"
 
+#include "lycheelanding/http/asynchttpclient.h"
 #include "testserver.h"
 
 #include <gtest/gtest.h>
@@ -214,6 +215,23 @@
     EXPECT_EQ(kind.get_future().get(), ErrorKind::Cancelled);
 }
 
+// Entries crashed at the end of a planned stop: the client of the store called back the watches destroyed before it.
+TEST(AsyncHttpClient, destructionCallsNoHandlers)
+{
+    const RawListener server;
+    asio::io_context context;
+    bool isCalled = false;
+    {
+        AsyncHttpClient client(context.get_executor());
+        client.fetch(getRequest(server.url()), [&isCalled](const auto &) { isCalled = true; });
+        context.poll();
+    }
+    EXPECT_FALSE(isCalled);
+    context.restart();
+    context.poll();
+    EXPECT_FALSE(isCalled);
+}
+
 TEST(HttpClient, concurrentRequestsGetTheirAnswers)
 {
     constexpr int requestCount = 300;
