GroupSwitch: a map is listed by layer and rank once, not for every command

The log of the leaders' sides: a switch took 0.29 s instead of 0.20 s, and the next one began 1.1 s later instead of 0.45 s, with the load of the busiest rank at 1.8 to 3.4 of the mean meanwhile.

Cause: each prepare, and each entry in the window, searched every expert at every rank of the map anew (12 layers x 32 ranks x 128 experts, 62 times a switch) on a side with 0.15 of a core. Now the lists and their size are made once when the switch begins, from the replicas of each expert.

--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
@@ -5,6 +5,7 @@
 #include "lycheelanding/decisions/mapswitch/rankcommands.h"
 #include "lycheelanding/decisions/mapswitch/rankgate.h"
 #include "lycheelanding/decisions/mapswitch/switchcoordinator.h"
+#include "lycheelanding/rankgroups/expertlists.h"
 #include "lycheelanding/rankgroups/rankreport.h"
 
 #include <chrono>
@@ -77,6 +78,15 @@
     const decisions::experts::ExpertMap *findMap(core::MapVersion version) const;
 
 private:
+    /// A map with what every command that carries it needs.
+    struct StoredMap
+    {
+        decisions::experts::ExpertMap map;
+        ExpertLists experts;
+        /// Size of `experts` in a datagram.
+        std::size_t packedBytes = 0;
+    };
+
     struct Rank
     {
         decisions::mapswitch::RankGate gate;
@@ -111,10 +121,10 @@
     std::uint64_t m_lostCommands = 0;
     std::optional<core::TimePoint> m_lastCommandLoss;
     std::uint64_t m_mapsCreated = 0;
-    std::map<core::MapVersion, decisions::experts::ExpertMap> m_maps;
+    std::map<core::MapVersion, StoredMap> m_maps;
 };
 
 /// Expert indices of a map by layer and rank.
-std::vector<std::vector<std::vector<std::uint32_t>>> expertsByLayerAndRank(const decisions::experts::ExpertMap &map);
+ExpertLists expertsByLayerAndRank(const decisions::experts::ExpertMap &map);
 
 } // namespace lycheelanding::rankgroups
--- a/packages/rankgroups/src/groupswitch.cpp
+++ b/packages/rankgroups/src/groupswitch.cpp
@@ -1,7 +1,5 @@
 #include "lycheelanding/rankgroups/groupswitch.h"
 
-#include "lycheelanding/rankgroups/expertlists.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -50,15 +48,15 @@
 
 } // namespace
 
-std::vector<std::vector<std::vector<std::uint32_t>>> expertsByLayerAndRank(const decisions::experts::ExpertMap &map)
+ExpertLists expertsByLayerAndRank(const decisions::experts::ExpertMap &map)
 {
     const auto &shape = map.shape();
-    std::vector<std::vector<std::vector<std::uint32_t>>> result(shape.layers);
+    ExpertLists result(shape.layers);
     for (std::size_t layer = 0; layer < shape.layers; ++layer) {
         result[layer].resize(shape.ranks);
-        for (std::size_t rank = 0; rank < shape.ranks; ++rank) {
-            for (const auto expert : map.expertsOn(core::LayerIndex(layer), core::RankIndex(rank))) {
-                result[layer][rank].push_back(static_cast<std::uint32_t>(expert.number()));
+        for (std::size_t expert = 0; expert < shape.experts; ++expert) {
+            for (const auto rank : map.ranksOf(core::LayerIndex(layer), core::ExpertIndex(expert))) {
+                result[layer][rank.number()].push_back(static_cast<std::uint32_t>(expert));
             }
         }
     }
@@ -121,7 +119,9 @@
         version = std::max(version, newestOf(rank.state).next());
     }
     map.setVersion(version);
-    m_maps.insert_or_assign(version, std::move(map));
+    auto experts = expertsByLayerAndRank(map);
+    const auto packedBytes = packExperts(experts).size();
+    m_maps.insert_or_assign(version, StoredMap{std::move(map), std::move(experts), packedBytes});
     while (m_maps.size() > maxStoredMaps) {
         m_maps.erase(m_maps.begin());
     }
@@ -215,7 +215,7 @@
 const decisions::experts::ExpertMap *GroupSwitch::findMap(core::MapVersion version) const
 {
     const auto found = m_maps.find(version);
-    return found == m_maps.end() ? nullptr : &found->second;
+    return found == m_maps.end() ? nullptr : &found->second.map;
 }
 
 void GroupSwitch::execute(const CoordinatorActions &coordinatorActions, core::TimePoint now,
@@ -258,7 +258,8 @@
         if (const auto *send = std::get_if<SendCommand>(&action)) {
             actions.emplace_back(CommandRank{core::RankIndex(rank), send->number, requestFor(send->command)});
         } else if (const auto *waiting = std::get_if<AwaitWindow>(&action)) {
-            m_window.add(rank, packExperts(requestFor(waiting->command).experts).size() + otherDatagramBytes);
+            const auto stored = m_maps.find(waiting->command.map);
+            m_window.add(rank, otherDatagramBytes + (stored != m_maps.end() ? stored->second.packedBytes : 0));
         } else if (const auto *staged = std::get_if<MapStaged>(&action)) {
             execute(rank, gate.engineStaged(staged->map), now, actions);
         } else if (const auto *failed = std::get_if<MapStageFailed>(&action)) {
@@ -294,8 +295,9 @@
 {
     EngineCommandRequest result{command, m_fencingToken, {}};
     if (command.kind == CommandKind::Prepare) {
-        if (const auto *map = findMap(command.map)) {
-            result.experts = expertsByLayerAndRank(*map);
+        const auto stored = m_maps.find(command.map);
+        if (stored != m_maps.end()) {
+            result.experts = stored->second.experts;
         }
     }
     return result;
