Commands to all ranks share one list of the map

The lists were made once a switch but copied for each command. A test shows that every copy of a prepare carries the same list; with a list for each command it fails with 5 different addresses (freed ones are used again).

--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -82,7 +83,7 @@
     struct StoredMap
     {
         decisions::experts::ExpertMap map;
-        ExpertLists experts;
+        std::shared_ptr<const ExpertLists> experts;
         /// Size of `experts` in a datagram.
         std::size_t packedBytes = 0;
     };
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankreport.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankreport.h
@@ -2,8 +2,10 @@
 
 #include "lycheelanding/core/ids.h"
 #include "lycheelanding/decisions/mapswitch/rankcommands.h"
+#include "lycheelanding/rankgroups/expertlists.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -45,8 +47,8 @@
 {
     decisions::mapswitch::EngineCommand command;
     decisions::mapswitch::FencingToken fencingToken;
-    /// Only for Prepare: the expert indices of the map by layer and rank.
-    std::vector<std::vector<std::vector<std::uint32_t>>> experts;
+    /// Only for Prepare: the map. The commands to all ranks share it.
+    std::shared_ptr<const ExpertLists> experts;
 };
 
 } // namespace lycheelanding::rankgroups
--- a/packages/rankgroups/src/groupswitch.cpp
+++ b/packages/rankgroups/src/groupswitch.cpp
@@ -119,9 +119,9 @@
         version = std::max(version, newestOf(rank.state).next());
     }
     map.setVersion(version);
-    auto experts = expertsByLayerAndRank(map);
-    const auto packedBytes = packExperts(experts).size();
-    m_maps.insert_or_assign(version, StoredMap{std::move(map), std::move(experts), packedBytes});
+    const auto experts = std::make_shared<const ExpertLists>(expertsByLayerAndRank(map));
+    const auto packedBytes = packExperts(*experts).size();
+    m_maps.insert_or_assign(version, StoredMap{std::move(map), experts, packedBytes});
     while (m_maps.size() > maxStoredMaps) {
         m_maps.erase(m_maps.begin());
     }
--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -91,7 +91,7 @@
 template <typename Archive>
 void save(Archive &archive, const EngineCommandRequest &command)
 {
-    const auto experts = packExperts(command.experts);
+    const auto experts = command.experts ? packExperts(*command.experts) : std::string();
     archive(command.command, command.fencingToken,
             cereal::make_size_tag(static_cast<cereal::size_type>(experts.size())),
             cereal::binary_data(experts.data(), experts.size()));
@@ -107,11 +107,14 @@
     }
     std::string bytes(size, '\0');
     archive(cereal::binary_data(bytes.data(), bytes.size()));
+    if (bytes.empty()) {
+        return;
+    }
     auto experts = unpackExperts(bytes);
     if (!experts) {
         throw cereal::Exception("the experts are incomplete");
     }
-    command.experts = std::move(*experts);
+    command.experts = std::make_shared<const ExpertLists>(std::move(*experts));
 }
 
 template <typename Archive>
--- a/packages/rankgroups/tests/groupswitchlinktest.cpp
+++ b/packages/rankgroups/tests/groupswitchlinktest.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <queue>
+#include <set>
 #include <tuple>
 #include <vector>
 
@@ -77,6 +78,8 @@
     core::Duration maxLinkDelay{0};
     std::size_t largestCommandBytes = 0;
     std::size_t prepareBytes = 0;
+    /// The maps that the prepares carried.
+    std::set<const ExpertLists *> preparedMaps;
 
 private:
     using CommandKey = std::tuple<std::size_t, CommandKind, core::MapVersion, core::StepNumber>;
@@ -125,6 +128,7 @@
         largestCommandBytes = std::max(largestCommandBytes, bytes);
         if (command.command.command.kind == CommandKind::Prepare) {
             prepareBytes += bytes;
+            preparedMaps.insert(command.command.experts.get());
         }
         const auto sentAt = m_link.send(bytes, m_now);
         if (m_lossInterval > 0 && ++m_copies % m_lossInterval == 0) {
@@ -275,4 +279,15 @@
     expectSwitched(simulation, largeGroup);
 }
 
+// Each command of a switch had the map listed anew, which took the leader of a large group most of its processor time.
+TEST(GroupSwitchOnASlowLink, allCopiesOfAPrepareShareOneListOfTheMap)
+{
+    LinkSimulation simulation(largeGroup);
+    simulation.run(1s);
+    simulation.startSwitch();
+    simulation.run(4s);
+    expectSwitched(simulation, largeGroup);
+    EXPECT_EQ(simulation.preparedMaps.size(), 1U);
+}
+
 } // namespace lycheelanding::rankgroups
--- a/packages/rankgroups/tests/orderdatagramstest.cpp
+++ b/packages/rankgroups/tests/orderdatagramstest.cpp
@@ -15,7 +15,8 @@
     const EngineCommand command{CommandKind::Prepare, core::Generation(3), core::MapVersion(9), {}};
     return {17,
             {command, FencingToken(4),
-             expertsByLayerAndRank(decisions::experts::roundRobinMap(shape, core::MapVersion(9)))}};
+             std::make_shared<const ExpertLists>(
+                 expertsByLayerAndRank(decisions::experts::roundRobinMap(shape, core::MapVersion(9))))}};
 }
 
 } // namespace
@@ -29,7 +30,8 @@
     EXPECT_EQ(order.number, sent.number);
     EXPECT_EQ(order.command.command.map, sent.command.command.map);
     EXPECT_EQ(order.command.fencingToken, sent.command.fencingToken);
-    EXPECT_EQ(order.command.experts, sent.command.experts);
+    ASSERT_NE(order.command.experts, nullptr);
+    EXPECT_EQ(*order.command.experts, *sent.command.experts);
 }
 
 // A prepare for a group of 32 ranks took 11 KB, which kept links of 8 Mbit/s busy for 11 ms per rank.
