--- a/packages/forwarding/tests/backendcapacitytest.cpp
+++ b/packages/forwarding/tests/backendcapacitytest.cpp
@@ -46,7 +46,7 @@
 
 } // namespace
 
-// A stall of two seconds was followed by twelve seconds in which each stream was late (scale-1 on 64 engines): an entry
+// A stall of two seconds was followed by twelve seconds in which each stream was late: an entry
 // that saw one of its requests end assumed that each other entry's had ended too, and refilled the full engine.
 TEST(BackendCapacity, endOfOneRequestDoesNotMakeAFullEngineAcceptAnother)
 {
--- a/packages/forwarding/tests/passdurationmodeltest.cpp
+++ b/packages/forwarding/tests/passdurationmodeltest.cpp
@@ -100,7 +100,7 @@
 }
 
 // Two events that arrive together are no pass. With 60 streams of a group each second window had such an interval, so
-// that the limit was 1,400 requests, and passes stayed too long for 16 s (scale-1 on 64 engines).
+// that the limit was 1,400 requests, and passes stayed too long for 16 s.
 TEST(PassDurationModelTest, shortIntervalOfOneStreamIsNotMistakenForAPass)
 {
     constexpr int streams = 60;
--- a/packages/forwarding/tests/requestlogdiagnosistest.cpp
+++ b/packages/forwarding/tests/requestlogdiagnosistest.cpp
@@ -115,7 +115,7 @@
     EXPECT_TRUE(contains(lineOf(lines, "requestOver"), "\"attempts\":0"));
 }
 
-// Late answers: waits at the entry could not be told from queues at the engine (scale-1 on 64 engines).
+// Late answers: waits at the entry could not be told from queues at the engine.
 TEST(RequestLogDiagnosis, requestThatWasNeverSentLogsThatItWaitedAllTheTime)
 {
     LogPipe pipe;
