A store that comes back from an older copy: eras of the store

StoreClient takes the era from each answer (Store-Era). An answer of an earlier era, without one after others had one, or with one that is not a number counts as no answer, with a log line and a counter. With the first answer of a later era: - prefixes are listed again and revisions are not compared across eras; - a backend server that had left gets no new work although the copy lists it as ready: after draining until it has started again, else until it registers; those that the copy lacks are kept for the time of a registration; - a leader stops at once, and forgets its lease, whose number may be given out again; - the fencing token has the era above the revision, so that no counter that went back gives out a token twice.

--- a/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
+++ b/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
@@ -124,6 +124,9 @@
     FollowerActions callFailed(StoreCallNumber call, StoreCallFailure failure, core::TimePoint now);
     /// The VM was suspended for some time: lists all keys again.
     FollowerActions resumed(core::TimePoint now);
+    /// The store has come back from an older copy: lists all keys again. Revisions of the earlier era are not compared
+    /// with those of the new one.
+    FollowerActions eraChanged(core::TimePoint now);
     FollowerActions tick(core::TimePoint now);
 
 private:
--- a/packages/decisions/include/lycheelanding/decisions/mapswitch/groupleadership.h
+++ b/packages/decisions/include/lycheelanding/decisions/mapswitch/groupleadership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheelanding/core/clock.h"
+#include "lycheelanding/decisions/distribution/storeera.h"
 #include "lycheelanding/decisions/mapswitch/switchmessages.h"
 
 #include <chrono>
@@ -58,8 +59,9 @@
 using LeadershipActions = std::vector<LeadershipAction>;
 
 /// Leader election of a rank group: the leader is the process that holds the group's key in the store under a lease.
-/// The store's revision of that key is the fencing token, which only grows. A leader counts its lease from the time of
-/// its request, so it stops leading before the store can give the key to another process.
+/// The era of the store and its revision of that key make the fencing token, which only grows: revisions alone go back
+/// when the store comes back from an older copy. A leader counts its lease from the time of its request, so it stops
+/// leading before the store can give the key to another process.
 class GroupLeadership
 {
 public:
@@ -68,11 +70,15 @@
     /// A message from a leader of this group was received.
     void leaderSeen(core::TimePoint now);
     LeadershipActions leaseGranted(LeaseCall call, std::uint64_t lease, core::TimePoint now);
-    /// The key was written at `revision` of the store; no revision means that it exists already.
-    LeadershipActions keyWritten(LeaseCall call, std::optional<std::uint64_t> revision, core::TimePoint now);
+    /// The key was written at `revision` of the store, in `era`; no revision means that it exists already.
+    LeadershipActions keyWritten(LeaseCall call, std::optional<std::uint64_t> revision, distribution::StoreEra era,
+                                 core::TimePoint now);
     LeadershipActions leaseRenewed(LeaseCall call);
     /// The call was not answered, or the lease has expired.
     LeadershipActions callFailed(LeaseCall call, bool hasLeaseEnded, core::TimePoint now);
+    /// The store has come back from an older copy, in which the lease may be missing or belong to another process:
+    /// gives up leadership and whatever was asked of the store.
+    LeadershipActions eraChanged(core::TimePoint now);
     /// Gives up leadership, for example because another leader has a higher fencing token.
     LeadershipActions resign(core::TimePoint now);
     /// `rank` is the rank of this member within the group.
--- a/packages/decisions/include/lycheelanding/decisions/membership/backenddirectory.h
+++ b/packages/decisions/include/lycheelanding/decisions/membership/backenddirectory.h
@@ -31,6 +31,8 @@
     bool isDraining = false;
     /// Grows with each registration at the registry: of two at one address the later one is valid.
     std::uint64_t revision = 0;
+    /// When the backend server started, in ms since the Unix epoch by its own clock; 0 if not stated.
+    std::uint64_t startedAtMs = 0;
 
     bool operator==(const RegisteredBackend &) const = default;
 };
@@ -40,6 +42,8 @@
     /// The platform specifies that registrations that lapsed during an outage of the registry are renewed within about
     /// two seconds of its return. A backend server still missing after that no longer exists.
     core::Duration reregistrationTimeout = std::chrono::milliseconds(2500);
+    /// How long a backend server that has left is remembered, as the registry may come back from a copy that lists it.
+    core::Duration departedTimeToLive = std::chrono::minutes(2);
 };
 
 enum class DirectoryReason : std::uint8_t {
@@ -81,10 +85,13 @@
     DirectoryChanges listed(const std::vector<RegisteredBackend> &backends, core::TimePoint now);
     DirectoryChanges registered(const RegisteredBackend &backend, core::TimePoint now);
     /// The key of `id` no longer holds a readable registration.
-    DirectoryChanges unreadable(const BackendId &id);
+    DirectoryChanges unreadable(const BackendId &id, core::TimePoint now);
     DirectoryChanges removed(const BackendId &id, core::TimePoint now);
     void registryLost();
     void registryRegained(core::TimePoint now);
+    /// The registry has come back from an older copy. It may list backend servers that have left, and lack some that
+    /// are there until they register again.
+    void registryRestored(core::TimePoint now);
     DirectoryChanges tick(core::TimePoint now);
 
     std::size_t usableCount() const;
@@ -97,15 +104,31 @@
         std::optional<core::TimePoint> reregistrationDeadline = std::nullopt;
     };
 
+    /// A backend server that gets no new work any more.
+    struct Departed
+    {
+        std::uint64_t startedAtMs = 0;
+        bool wasDraining = false;
+        core::TimePoint at;
+        /// The registry was restored since, so that its registration may be an old one.
+        bool isDoubtful = false;
+    };
+
     bool isAwaitingReregistrations(core::TimePoint now) const;
-    void applyRegistration(const RegisteredBackend &backend, DirectoryChanges &changes);
+    /// Whether the registration is one of a backend server that has left. `isWritten`: it was written just now, not
+    /// read from the restored copy.
+    bool isOfDeparted(const RegisteredBackend &backend, bool isWritten) const;
+    void forgetDeparted(core::TimePoint now);
+    void applyRegistration(const RegisteredBackend &backend, bool isWritten, core::TimePoint now,
+                           DirectoryChanges &changes);
     /// Removes earlier registrations at the same address; false, and `backend` removed, when a later one exists.
-    bool replaceAtAddress(const RegisteredBackend &backend, DirectoryChanges &changes);
+    bool replaceAtAddress(const RegisteredBackend &backend, core::TimePoint now, DirectoryChanges &changes);
     void markMissing(const BackendId &id, core::TimePoint now, DirectoryChanges &changes);
-    void removeMember(const BackendId &id, DirectoryReason reason, DirectoryChanges &changes);
+    void removeMember(const BackendId &id, DirectoryReason reason, core::TimePoint now, DirectoryChanges &changes);
 
     const DirectorySettings m_settings;
     std::map<BackendId, Member> m_members;
+    std::map<BackendId, Departed> m_departed;
     bool m_isRegistryLost = false;
     std::optional<core::TimePoint> m_registryRegainedAt;
 };
--- a/packages/decisions/src/distribution/prefixfollower.cpp
+++ b/packages/decisions/src/distribution/prefixfollower.cpp
@@ -108,6 +108,12 @@
     return actions;
 }
 
+FollowerActions PrefixFollower::eraChanged(core::TimePoint now)
+{
+    m_revisions.clear();
+    return resumed(now);
+}
+
 FollowerActions PrefixFollower::tick(core::TimePoint now)
 {
     FollowerActions actions;
--- a/packages/decisions/src/mapswitch/groupleadership.cpp
+++ b/packages/decisions/src/mapswitch/groupleadership.cpp
@@ -6,6 +6,18 @@
 
 namespace lycheelanding::decisions::mapswitch {
 
+namespace {
+
+/// Bits of the revision in a fencing token; the era is above them.
+constexpr unsigned revisionBits = 32;
+
+FencingToken fencingTokenOf(distribution::StoreEra era, std::uint64_t revision)
+{
+    return FencingToken((era.number() << revisionBits) + revision);
+}
+
+} // namespace
+
 void GroupLeadership::leaderSeen(core::TimePoint now)
 {
     m_leaderLastSeen = now;
@@ -31,7 +43,7 @@
 }
 
 LeadershipActions GroupLeadership::keyWritten(LeaseCall call, std::optional<std::uint64_t> revision,
-                                              core::TimePoint now)
+                                              distribution::StoreEra era, core::TimePoint now)
 {
     LeadershipActions actions;
     if (m_state != State::Writing || call != m_pendingCall) {
@@ -44,7 +56,7 @@
         return actions;
     }
     m_state = State::Leading;
-    m_fencingToken = FencingToken(*revision);
+    m_fencingToken = fencingTokenOf(era, *revision);
     m_renewals.clear();
     m_nextAttempt = m_leaseRequestedAt + m_settings.renewInterval;
     actions.emplace_back(BecameLeader{m_fencingToken});
@@ -96,6 +108,15 @@
     }
 }
 
+LeadershipActions GroupLeadership::eraChanged(core::TimePoint now)
+{
+    LeadershipActions actions;
+    // Answers to calls of the earlier era no longer match.
+    m_pendingCall = m_pendingCall.next();
+    stepDown(now, actions);
+    return actions;
+}
+
 LeadershipActions GroupLeadership::resign(core::TimePoint now)
 {
     LeadershipActions actions;
--- a/packages/decisions/src/membership/backenddirectory.cpp
+++ b/packages/decisions/src/membership/backenddirectory.cpp
@@ -19,6 +19,13 @@
     {DirectoryReason::Replaced, "replaced"},
 }};
 
+/// Whether `known` registered at its address after `other`, which names the same one.
+bool isLaterAtAddress(const RegisteredBackend &known, const RegisteredBackend &other)
+{
+    const bool haveStarts = known.startedAtMs > 0 && other.startedAtMs > 0 && known.startedAtMs != other.startedAtMs;
+    return haveStarts ? known.startedAtMs > other.startedAtMs : known.revision > other.revision;
+}
+
 } // namespace
 
 std::string_view nameOf(DirectoryReason reason)
@@ -32,7 +39,7 @@
     std::set<BackendId> present;
     for (const auto &backend : backends) {
         present.insert(backend.id);
-        applyRegistration(backend, changes);
+        applyRegistration(backend, false, now, changes);
     }
     std::vector<BackendId> missing;
     for (const auto &[id, member] : m_members) {
@@ -46,17 +53,17 @@
     return changes;
 }
 
-DirectoryChanges BackendDirectory::registered(const RegisteredBackend &backend, core::TimePoint)
+DirectoryChanges BackendDirectory::registered(const RegisteredBackend &backend, core::TimePoint now)
 {
     DirectoryChanges changes;
-    applyRegistration(backend, changes);
+    applyRegistration(backend, true, now, changes);
     return changes;
 }
 
-DirectoryChanges BackendDirectory::unreadable(const BackendId &id)
+DirectoryChanges BackendDirectory::unreadable(const BackendId &id, core::TimePoint now)
 {
     DirectoryChanges changes;
-    removeMember(id, DirectoryReason::Unreadable, changes);
+    removeMember(id, DirectoryReason::Unreadable, now, changes);
     return changes;
 }
 
@@ -80,9 +87,23 @@
     }
 }
 
+void BackendDirectory::registryRestored(core::TimePoint now)
+{
+    m_isRegistryLost = false;
+    m_registryRegainedAt = now;
+    for (auto &item : m_members) {
+        // Revisions are compared within an era only.
+        item.second.backend.revision = 0;
+    }
+    for (auto &item : m_departed) {
+        item.second.isDoubtful = true;
+    }
+}
+
 DirectoryChanges BackendDirectory::tick(core::TimePoint now)
 {
     DirectoryChanges changes;
+    forgetDeparted(now);
     std::vector<BackendId> gone;
     for (const auto &[id, member] : m_members) {
         if (member.reregistrationDeadline && now >= *member.reregistrationDeadline) {
@@ -90,7 +111,7 @@
         }
     }
     for (const auto &id : gone) {
-        removeMember(id, DirectoryReason::Lapsed, changes);
+        removeMember(id, DirectoryReason::Lapsed, now, changes);
     }
     return changes;
 }
@@ -105,15 +126,36 @@
     return m_registryRegainedAt && now < *m_registryRegainedAt + m_settings.reregistrationTimeout;
 }
 
-void BackendDirectory::applyRegistration(const RegisteredBackend &backend, DirectoryChanges &changes)
+bool BackendDirectory::isOfDeparted(const RegisteredBackend &backend, bool isWritten) const
+{
+    const auto found = m_departed.find(backend.id);
+    if (found == m_departed.end() || !found->second.isDoubtful) {
+        return false;
+    }
+    if (backend.startedAtMs > found->second.startedAtMs && found->second.startedAtMs > 0) {
+        return false;
+    }
+    // A server that was only missing is back when it writes; one that drains does not become ready again.
+    return found->second.wasDraining || !isWritten;
+}
+
+void BackendDirectory::forgetDeparted(core::TimePoint now)
+{
+    std::erase_if(m_departed, [&](const auto &item) { return now - item.second.at >= m_settings.departedTimeToLive; });
+}
+
+void BackendDirectory::applyRegistration(const RegisteredBackend &backend, bool isWritten, core::TimePoint now,
+                                         DirectoryChanges &changes)
 {
     if (backend.isDraining) {
-        removeMember(backend.id, DirectoryReason::Draining, changes);
+        removeMember(backend.id, DirectoryReason::Draining, now, changes);
+        m_departed.insert_or_assign(backend.id, Departed{backend.startedAtMs, true, now, false});
         return;
     }
-    if (!replaceAtAddress(backend, changes)) {
+    if (isOfDeparted(backend, isWritten) || !replaceAtAddress(backend, now, changes)) {
         return;
     }
+    m_departed.erase(backend.id);
     const auto known = m_members.find(backend.id);
     const bool isKnown = known != m_members.end();
     if (isKnown) {
@@ -128,21 +170,22 @@
     changes.emplace_back(BackendUsable{backend});
 }
 
-bool BackendDirectory::replaceAtAddress(const RegisteredBackend &backend, DirectoryChanges &changes)
+bool BackendDirectory::replaceAtAddress(const RegisteredBackend &backend, core::TimePoint now,
+                                        DirectoryChanges &changes)
 {
     std::vector<BackendId> earlier;
     for (const auto &[id, member] : m_members) {
         if (id == backend.id || member.backend.address != backend.address) {
             continue;
         }
-        if (member.backend.revision > backend.revision) {
-            removeMember(backend.id, DirectoryReason::Replaced, changes);
+        if (isLaterAtAddress(member.backend, backend)) {
+            removeMember(backend.id, DirectoryReason::Replaced, now, changes);
             return false;
         }
         earlier.push_back(id);
     }
     for (const auto &id : earlier) {
-        removeMember(id, DirectoryReason::Replaced, changes);
+        removeMember(id, DirectoryReason::Replaced, now, changes);
     }
     return true;
 }
@@ -154,7 +197,7 @@
         return;
     }
     if (!isAwaitingReregistrations(now)) {
-        removeMember(id, DirectoryReason::Removed, changes);
+        removeMember(id, DirectoryReason::Removed, now, changes);
         return;
     }
     if (!known->second.reregistrationDeadline) {
@@ -162,11 +205,17 @@
     }
 }
 
-void BackendDirectory::removeMember(const BackendId &id, DirectoryReason reason, DirectoryChanges &changes)
+void BackendDirectory::removeMember(const BackendId &id, DirectoryReason reason, core::TimePoint now,
+                                    DirectoryChanges &changes)
 {
-    if (m_members.erase(id) > 0) {
-        changes.emplace_back(BackendUnusable{id, reason});
+    const auto found = m_members.find(id);
+    if (found == m_members.end()) {
+        return;
     }
+    m_departed.insert_or_assign(
+        id, Departed{found->second.backend.startedAtMs, reason == DirectoryReason::Draining, now, false});
+    m_members.erase(found);
+    changes.emplace_back(BackendUnusable{id, reason});
 }
 
 } // namespace lycheelanding::decisions::membership
--- a/packages/decisions/tests/mapswitch/groupleadershiptest.cpp
+++ b/packages/decisions/tests/mapswitch/groupleadershiptest.cpp
@@ -40,7 +40,7 @@
     GroupLeadership leadership({});
     const auto grant = callOf<GrantLease>(leadership.tick(0, start));
     const auto write = callOf<WriteLeaderKey>(leadership.leaseGranted(grant, 1, start));
-    EXPECT_TRUE(has<BecameLeader>(leadership.keyWritten(write, 7, start)));
+    EXPECT_TRUE(has<BecameLeader>(leadership.keyWritten(write, 7, {}, start)));
     return leadership;
 }
 
@@ -68,7 +68,7 @@
         }
         ++attempts;
         const auto write = callOf<WriteLeaderKey>(leadership.leaseGranted(callOf<GrantLease>(grant), 1, now));
-        leadership.keyWritten(write, std::nullopt, now);
+        leadership.keyWritten(write, std::nullopt, {}, now);
     }
     EXPECT_LE(attempts, 8);
     EXPECT_GE(attempts, 5);
@@ -190,7 +190,7 @@
                 written = ++revision;
             }
             add(member,
-                isAnswered ? group[member].keyWritten(write->call, written, now)
+                isAnswered ? group[member].keyWritten(write->call, written, {}, now)
                            : group[member].callFailed(write->call, false, now));
         } else if (const auto *renew = std::get_if<RenewLease>(&action)) {
             const bool isAlive = now < leaseEnds[renew->lease];
--- a/packages/decisions/tests/membership/backenddirectorytest.cpp
+++ b/packages/decisions/tests/membership/backenddirectorytest.cpp
@@ -51,7 +51,68 @@
 {
     BackendDirectory directory({});
     directory.listed({backendNamed("a"), backendNamed("b")}, start);
-    EXPECT_TRUE(isUnusable(directory.unreadable(BackendId("a")), "a", DirectoryReason::Unreadable));
+    EXPECT_TRUE(isUnusable(directory.unreadable(BackendId("a"), start), "a", DirectoryReason::Unreadable));
+    EXPECT_EQ(directory.usableCount(), 1U);
+}
+
+// A registry that comes back from an older copy lists what has left meanwhile.
+TEST(BackendDirectory, drainingBackendGetsNoWorkAlthoughARestoredRegistryListsItAsReady)
+{
+    BackendDirectory directory({});
+    auto ready = backendNamed("a");
+    ready.startedAtMs = 5000;
+    auto draining = ready;
+    draining.isDraining = true;
+    directory.listed({ready}, start);
+    directory.registered(draining, start);
+    directory.registryRestored(start + 1s);
+    EXPECT_TRUE(directory.listed({ready}, start + 1s).empty());
+    // What the backend server wrote before is written again.
+    EXPECT_TRUE(directory.registered(ready, start + 2s).empty());
+    EXPECT_EQ(directory.usableCount(), 0U);
+    // It has started again under its name.
+    ready.startedAtMs = 9000;
+    EXPECT_EQ(directory.registered(ready, start + 3s).size(), 1U);
+}
+
+TEST(BackendDirectory, removedBackendGetsNoWorkUntilItRegistersInTheRestoredRegistry)
+{
+    BackendDirectory directory({});
+    directory.listed({backendNamed("a")}, start);
+    directory.removed(BackendId("a"), start + 500ms);
+    directory.registryRestored(start + 1s);
+    EXPECT_TRUE(directory.listed({backendNamed("a")}, start + 1s).empty());
+    EXPECT_EQ(directory.registered(backendNamed("a"), start + 2s).size(), 1U);
+}
+
+TEST(BackendDirectory, backendThatARestoredRegistryLacksIsKeptUntilItMayHaveRegistered)
+{
+    const DirectorySettings settings;
+    BackendDirectory directory(settings);
+    directory.listed({backendNamed("a"), backendNamed("b")}, start);
+    directory.registryRestored(start + 1s);
+    EXPECT_TRUE(directory.listed({backendNamed("a")}, start + 1s).empty());
+    EXPECT_TRUE(directory.tick(start + 1s + settings.reregistrationTimeout - 1ms).empty());
+    EXPECT_TRUE(isUnusable(directory.tick(start + 1s + settings.reregistrationTimeout), "b", DirectoryReason::Lapsed));
+}
+
+// Revisions are given out again: the later registration at an address may have the lower one.
+TEST(BackendDirectory, laterRegistrationAtAnAddressWinsAcrossARestore)
+{
+    BackendDirectory directory({});
+    auto first = backendNamed("a");
+    first.revision = 900;
+    auto second = backendNamed("b");
+    second.address = first.address;
+    second.revision = 40;
+    directory.listed({first}, start);
+    directory.registryRestored(start + 1s);
+    directory.listed({first}, start + 1s);
+    second.startedAtMs = 8000;
+    first.startedAtMs = 5000;
+    directory.registered(first, start + 2s);
+    directory.registered(second, start + 2s);
+    EXPECT_TRUE(directory.registered(first, start + 3s).empty());
     EXPECT_EQ(directory.usableCount(), 1U);
 }
 
--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -38,6 +38,8 @@
     StoreWrites,
     StoreWatches,
     StoreFailures,
+    StoreErasChanged,
+    StoreAnswersOutsideEra,
     // Membership and shutdown
     PeersLost,
     PeersDraining,
