From a shift to its map in under a second: windows by step, a step ahead by the pace, limits of loads in the search

- Counts are read once a step and summed step by step, so that a window does not mix choices before and after a shift; a plan does not wait for another window.
- The step of a switch lay two steps ahead; it now follows from the pace of the steps and the time that a hold takes.
If the pace is unknown or commands are lost it is as before.
- A layer in which a rank would load more experts than it has spare slots was left as it was.
The search keeps the limit itself (PlannerSettings::maxLoadsPerRankAndLayer).

--- a/packages/decisions/include/lycheelanding/decisions/experts/plannersettings.h
+++ b/packages/decisions/include/lycheelanding/decisions/experts/plannersettings.h
@@ -47,6 +47,8 @@
     /// Maximum number of replicas that one rank loads in one move; 0 means no limit. Ranks load in parallel, so the
     /// rank with the most loads determines the duration of a move.
     int maxLoadsPerRank = 0;
+    /// The same for one layer: slots in which a rank can load while the active map stays in use; 0 means no limit.
+    int maxLoadsPerRankAndLayer = 0;
     /// Time for which a placement is expected to stay useful.
     core::Duration horizon = std::chrono::minutes(10);
     ForecastSettings forecast;
--- a/packages/decisions/src/experts/expertplanner.cpp
+++ b/packages/decisions/src/experts/expertplanner.cpp
@@ -81,9 +81,10 @@
         }
     }
 
-    void addLayer(const std::vector<ExpertLoad> &expected, double freedSlotCost)
+    void addLayer(const std::vector<ExpertLoad> &expected, const PlannerSettings &settings)
     {
-        m_layers.emplace_back(m_current, m_layers.size(), m_isAvailable, expected, freedSlotCost);
+        m_layers.emplace_back(m_current, m_layers.size(), m_isAvailable, expected, settings.freedSlotCost,
+                              settings.maxLoadsPerRankAndLayer);
         auto &layer = m_layers.back();
         m_slowestBefore += layer.slowestLoad();
         layer.repair();
@@ -218,7 +219,7 @@
         return Stay{m_forecast.newestPeriodEnd() ? StayReason::StaleCounts : StayReason::NoCounts};
     }
     for (std::size_t layer = 0; layer < m_shape.layers; ++layer) {
-        builder.addLayer(expectedLoads(layer), m_settings.freedSlotCost);
+        builder.addLayer(expectedLoads(layer), m_settings);
     }
     const auto limits = limitsAt(now);
     builder.selectChanges(freshLayers, limits);
--- a/packages/decisions/src/experts/private/layerbalancer.cpp
+++ b/packages/decisions/src/experts/private/layerbalancer.cpp
@@ -61,9 +61,9 @@
 }
 
 LayerBalancer::LayerBalancer(const ExpertMap &map, std::size_t layer, const std::vector<bool> &isAvailable,
-                             const std::vector<ExpertLoad> &expected, double freedSlotCost)
-    : m_freedSlotCost(freedSlotCost), m_experts(map.shape().experts), m_slots(map.shape().slotsPerRank),
-      m_ranksOfExpert(map.shape().experts), m_expertsOfRank(map.shape().ranks),
+                             const std::vector<ExpertLoad> &expected, double freedSlotCost, int maxLoadsPerRank)
+    : m_freedSlotCost(freedSlotCost), m_maxLoadsPerRank(maxLoadsPerRank), m_experts(map.shape().experts),
+      m_slots(map.shape().slotsPerRank), m_ranksOfExpert(map.shape().experts), m_expertsOfRank(map.shape().ranks),
       m_holds(map.shape().ranks * map.shape().experts), m_rankLoads(map.shape().ranks),
       m_rankVariances(map.shape().ranks), m_demands(map.shape().ranks), m_demandsWithout(map.shape().ranks),
       m_powers(map.shape().ranks), m_loadDeltas(map.shape().ranks), m_varianceDeltas(map.shape().ranks)
@@ -86,6 +86,7 @@
         addLoad(expert, 1);
     }
     m_initiallyHeld = m_holds;
+    m_loadsOfRank.resize(map.shape().ranks);
 }
 
 void LayerBalancer::repair()
@@ -143,6 +144,9 @@
         } else {
             eraseReplica(edit.expert, edit.rank);
         }
+        if (isLoad(edit.expert, edit.rank)) {
+            m_loadsOfRank[edit.rank] += edit.isAdded ? 1 : -1;
+        }
         addLoad(edit.expert, 1);
     }
 }
@@ -301,7 +305,7 @@
         return;
     }
     const double sum = powerSumAfter(change);
-    if (sum >= powerOf(m_potential - requiredGain)) {
+    if (sum >= powerOf(m_potential - requiredGain) || !respectsLoadLimit(change)) {
         return;
     }
     m_best = RatedChange{change, m_potential - potentialOf(sum), cost, loads};
@@ -366,11 +370,27 @@
     m_varianceDeltas[rank] += variance;
 }
 
+bool LayerBalancer::respectsLoadLimit(const ReplicaChange &change) const
+{
+    if (m_maxLoadsPerRank == 0) {
+        return true;
+    }
+    return std::all_of(change.begin(), change.end(), [&](const ReplicaEdit &edit) {
+        int loads = m_loadsOfRank[edit.rank];
+        for (const auto &each : change) {
+            if (each.rank == edit.rank && isLoad(each.expert, each.rank)) {
+                loads += each.isAdded ? 1 : -1;
+            }
+        }
+        return !edit.isAdded || loads <= m_maxLoadsPerRank;
+    });
+}
+
 int LayerBalancer::loadsOf(const ReplicaChange &change) const
 {
     int loads = 0;
     for (const auto &edit : change) {
-        if (!m_initiallyHeld[edit.rank * m_experts + edit.expert]) {
+        if (isLoad(edit.expert, edit.rank)) {
             loads += edit.isAdded ? 1 : -1;
         }
     }
--- a/packages/decisions/src/experts/private/layerbalancer.h
+++ b/packages/decisions/src/experts/private/layerbalancer.h
@@ -56,9 +56,10 @@
 {
 public:
     /// Starts from the placements of `layer` on the ranks marked in `isAvailable`. The shares in `expected` sum to 1.
-    /// `freedSlotCost` is the cost of a slot that a change leaves free, in replica loads.
+    /// `freedSlotCost` is the cost of a slot that a change leaves free, in replica loads; `maxLoadsPerRank` the number
+    /// of experts that a rank may load for the changes, 0 for no limit.
     LayerBalancer(const ExpertMap &map, std::size_t layer, const std::vector<bool> &isAvailable,
-                  const std::vector<ExpertLoad> &expected, double freedSlotCost);
+                  const std::vector<ExpertLoad> &expected, double freedSlotCost, int maxLoadsPerRank);
 
     /// Adds a replica of every expert that has none. Requires at least as many slots on the available ranks as experts.
     void repair();
@@ -95,8 +96,12 @@
     void addDeltas(const ReplicaChange &change, std::size_t expert);
     void addDelta(std::size_t rank, double load, double variance);
     int loadsOf(const ReplicaChange &change) const;
+    bool isLoad(std::size_t expert, std::size_t rank) const { return !m_initiallyHeld[rank * m_experts + expert]; }
+    /// Whether no rank loads too many experts after the change.
+    bool respectsLoadLimit(const ReplicaChange &change) const;
 
     double m_freedSlotCost;
+    int m_maxLoadsPerRank;
     std::size_t m_experts;
     std::size_t m_slots;
     std::vector<std::size_t> m_ranks;
@@ -108,6 +113,8 @@
     std::vector<std::vector<std::size_t>> m_expertsOfRank;
     std::vector<char> m_holds;
     std::vector<char> m_initiallyHeld;
+    /// Experts that each rank loads for the changes so far.
+    std::vector<int> m_loadsOfRank;
     std::vector<double> m_rankLoads;
     std::vector<double> m_rankVariances;
 
--- a/packages/rankgroups/include/lycheelanding/rankgroups/countscollector.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/countscollector.h
@@ -16,6 +16,8 @@
 struct CountsReport
 {
     core::Generation generation;
+    /// The last step that the ranks had begun.
+    core::StepNumber step;
     /// Number of ranks that the sum is of.
     std::uint32_t ranks = 1;
     /// The unit of the counts is 2 to the power of this many choices.
@@ -27,6 +29,8 @@
 struct SummedChoices
 {
     core::Generation generation;
+    /// The last step of which choices are in the sum.
+    core::StepNumber step;
     std::uint32_t ranks = 0;
     /// By layer and expert.
     std::vector<std::uint64_t> choices;
@@ -39,14 +43,17 @@
 {
     /// Ranks of which a complete sum is; 0 if it is complete with the reports of all known sources.
     std::size_t ranks = 0;
+    /// Minimum time between the ends of two sums.
     core::Duration minDuration{0};
-    /// Time after which a sum need not be complete: it ends with the reports of all known sources.
+    /// Time after the first report of a sum from which on it need not be complete: it ends with the reports of all
+    /// known sources.
     core::Duration patience{0};
-    /// Time after which a sum ends in any case.
+    /// Time after the first report of a sum at which it ends in any case.
     core::Duration maxDuration{0};
 };
 
-/// Adds up the reports of several sources.
+/// Adds up the reports of several sources, step by step: reports of a later step end a sum, so that choices before a
+/// shift of the demand and after it are in different ones.
 class CountsCollector
 {
 public:
@@ -66,10 +73,17 @@
     };
 
     bool hasEnded(core::TimePoint now) const;
+    /// Ends the sum, and starts the next one.
+    SummedChoices takeSum(core::TimePoint now);
 
     const CollectorSettings m_settings;
     SummedChoices m_sum;
+    /// A sum that a report of a later step has ended.
+    std::optional<SummedChoices> m_ended;
+    /// End of the sum before, or the first report of all.
     std::optional<core::TimePoint> m_startTime;
+    /// First report of the sum.
+    std::optional<core::TimePoint> m_firstReportAt;
     std::map<std::string, Source> m_sources;
 };
 
--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupplanner.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupplanner.h
@@ -29,7 +29,7 @@
     /// Whether the average demand of every layer is settled (see DemandAverage).
     bool isDemandSettled() const;
 
-    /// Whether the demand of most layers has just shifted; the next window tells what it is now.
+    /// Whether the demand of most layers has just shifted.
     bool isDemandProvisional() const;
 
     const decisions::experts::MapShape &shape() const { return m_shape; }
--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupswitch.h
@@ -4,6 +4,7 @@
 #include "lycheelanding/decisions/mapswitch/commandwindow.h"
 #include "lycheelanding/decisions/mapswitch/rankcommands.h"
 #include "lycheelanding/decisions/mapswitch/rankgate.h"
+#include "lycheelanding/decisions/mapswitch/steppace.h"
 #include "lycheelanding/decisions/mapswitch/switchcoordinator.h"
 #include "lycheelanding/rankgroups/expertlists.h"
 #include "lycheelanding/rankgroups/rankreport.h"
@@ -96,6 +97,8 @@
         decisions::mapswitch::RankGate gate;
         decisions::mapswitch::RankCommands commands;
         decisions::mapswitch::RankState state;
+        /// When `state` was read.
+        core::TimePoint readAt = {};
         /// 0 until the session is opened.
         std::uint64_t session = 0;
         std::optional<core::TimePoint> fencingTokenInstalledAt = std::nullopt;
@@ -115,6 +118,8 @@
     /// Size of a Prepare in a datagram.
     std::size_t prepareBytes(const Rank &rank, core::MapVersion map) const;
     bool needsNewSession(const Rank &rank) const;
+    /// Chooses how far ahead the step of a switch lies.
+    void updateStepsAhead(core::TimePoint now);
     void recordLostCommands(core::TimePoint now);
 
     const decisions::mapswitch::FencingToken m_fencingToken;
@@ -124,6 +129,7 @@
     decisions::mapswitch::CommandWindow m_window;
     /// The latest step that any rank has reported.
     core::StepNumber m_latestStep;
+    decisions::mapswitch::StepPace m_pace;
     decisions::mapswitch::SwitchCoordinator m_coordinator;
     std::uint64_t m_lastSession = 0;
     std::uint64_t m_lostCommands = 0;
--- a/packages/rankgroups/src/countsmember.cpp
+++ b/packages/rankgroups/src/countsmember.cpp
@@ -14,8 +14,9 @@
     if (!isCollector()) {
         m_collector.reset();
     } else if (!wasCollector || !m_collector) {
-        // A sum ends with the report of each member, or when the next reports are due.
-        m_collector.emplace(CollectorSettings{0, core::Duration::zero(), route.interval, route.interval});
+        // A sum ends with the report of each member, or when the next reports are due. While the members are not known
+        // yet, each report would end one.
+        m_collector.emplace(CollectorSettings{0, route.interval / 2, route.interval, route.interval});
     }
 }
 
@@ -35,9 +36,10 @@
         return std::nullopt;
     }
     if (isCollector()) {
-        return collect(m_ip, {generation, 1, 0, std::move(counts)}, now);
+        return collect(m_ip, {generation, m_readStep, 1, 0, std::move(counts)}, now);
     }
-    return AddressedCounts{m_route.collector, m_quantizer.quantize({generation, 1, {counts.begin(), counts.end()}})};
+    return AddressedCounts{m_route.collector,
+                           m_quantizer.quantize({generation, m_readStep, 1, {counts.begin(), counts.end()}})};
 }
 
 std::optional<AddressedCounts> CountsMember::reportReceived(const std::string &source, const CountsReport &report,
--- a/packages/rankgroups/src/countsquantizer.cpp
+++ b/packages/rankgroups/src/countsquantizer.cpp
@@ -21,7 +21,7 @@
     for (std::size_t cell = 0; cell < sum.choices.size(); ++cell) {
         m_remainders[cell] += sum.choices[cell];
     }
-    CountsReport report{sum.generation, sum.ranks, 0, ChoiceCounts(sum.choices.size())};
+    CountsReport report{sum.generation, sum.step, sum.ranks, 0, ChoiceCounts(sum.choices.size())};
     const auto total = std::accumulate(m_remainders.begin(), m_remainders.end(), std::uint64_t{0});
     while ((total >> report.scaleBits) > maxMeanUnits * m_remainders.size()) {
         ++report.scaleBits;
--- a/packages/rankgroups/src/countstree.cpp
+++ b/packages/rankgroups/src/countstree.cpp
@@ -11,7 +11,7 @@
 
 /// Groups up to this size send straight to the leader.
 constexpr std::size_t maxDirectMembers = 15;
-constexpr std::chrono::milliseconds minInterval{100};
+constexpr std::chrono::milliseconds minInterval{60};
 /// Share of a link that counts may use; the rest is for the ranks' states, commands, lease renewals and the engine.
 constexpr double maxLinkShare = 0.35;
 /// Size of a count in a report (see CountsQuantizer), and of the rest of a datagram.
--- a/packages/rankgroups/src/groupplanner.cpp
+++ b/packages/rankgroups/src/groupplanner.cpp
@@ -11,16 +11,15 @@
 
 using namespace decisions::experts;
 
-/// Minimum duration of the windows over which counts are summed: two forward passes, with some thousand choices per
-/// layer.
-constexpr std::chrono::milliseconds countWindow{100};
+/// Minimum duration of the windows over which counts are summed.
+constexpr std::chrono::milliseconds countWindow{50};
 /// Duration after which a window ends without ranks from which nothing is heard.
 constexpr std::chrono::milliseconds incompleteCountWindow{250};
 /// Duration after which a window ends without the counts of some rank.
 constexpr std::chrono::milliseconds maxCountWindow{1500};
 constexpr double bitsPerByte = 8.0;
 /// A switch waits for the rank that copies the most experts.
-constexpr std::chrono::milliseconds maxCopyTime{150};
+constexpr std::chrono::milliseconds maxCopyTime{200};
 constexpr int minLoadsPerRank = 2;
 
 MapShape mapShapeOf(const forwarding::ModelShape &model, std::size_t ranks)
@@ -53,6 +52,7 @@
     settings.bytesPerMinute = settings.weightStore.bytesPerSecond * 60;
     settings.budgetCapacityMinutes = 1;
     settings.maxLoadsPerRank = maxLoadsPerRank(model);
+    settings.maxLoadsPerRankAndLayer = static_cast<int>(model.spareSlots);
     settings.horizon = std::chrono::seconds(10);
     // DemandAverage has already averaged the counts.
     settings.forecast.levelTimeConstant = core::Duration::zero();
@@ -133,9 +133,6 @@
 
 std::optional<Move> GroupPlanner::plan(const ExpertMap &current, core::TimePoint now)
 {
-    if (isDemandProvisional()) {
-        return std::nullopt;
-    }
     std::vector<core::RankIndex> ranks;
     for (std::size_t rank = 0; rank < m_shape.ranks; ++rank) {
         ranks.emplace_back(rank);
--- a/packages/rankgroups/src/groupswitch.cpp
+++ b/packages/rankgroups/src/groupswitch.cpp
@@ -16,8 +16,11 @@
 /// Number of maps to store: the active one, the next one and some that were withdrawn.
 constexpr std::size_t maxStoredMaps = 6;
 
-/// Distance in steps to the activation of a map; engines answer a command within a fraction of a step.
+/// Distance in steps to the activation of a map while the pace of the group is unknown, and at most; engines answer a
+/// command within a fraction of a step.
 constexpr std::uint64_t normalStepsAhead = 2;
+/// Time in which a hold reaches all ranks, and the age of the step that is read last.
+constexpr std::chrono::milliseconds holdLeadTime{80};
 /// The same while commands are lost. With half of them unanswered, hold, arm and go of the slowest rank need about ten
 /// repetitions, which take half a second; with the normal distance the group would stall for that time. A forward pass
 /// takes about a tenth of a second.
@@ -80,7 +83,10 @@
 {
     for (std::size_t index = 0; index < ranks.size(); ++index) {
         m_ranks.push_back({RankGate(MemberIndex(index), engineStateOf(ranks[index])),
-                           RankCommands(RankCommandSettings()), ranks[index], 0});
+                           RankCommands(RankCommandSettings()),
+                           ranks[index],
+                           {},
+                           0});
     }
 }
 
@@ -130,8 +136,7 @@
     while (m_maps.size() > maxStoredMaps) {
         m_maps.erase(m_maps.begin());
     }
-    const bool hasRecentLoss = m_lastCommandLoss && now - *m_lastCommandLoss < commandLossWindow;
-    m_coordinator.setStepsAhead(hasRecentLoss ? stepsAheadAfterLoss : normalStepsAhead);
+    updateStepsAhead(now);
     execute(m_coordinator.switchTo(version, now), now, actions);
     return actions;
 }
@@ -140,6 +145,7 @@
                                          core::TimePoint now)
 {
     GroupSwitchActions actions;
+    updateStepsAhead(now);
     const auto index = rank.number();
     if (index < m_ranks.size()) {
         m_ranks[index].needsWholeMap = m_ranks[index].needsWholeMap || answer == CommandAnswer::MapUnknown;
@@ -164,7 +170,11 @@
         return actions;
     }
     Rank &member = m_ranks[index];
+    if (state.step > member.state.step) {
+        m_pace.stepRead(state.step, member.readAt, now);
+    }
     member.state = state;
+    member.readAt = now;
     if (member.session == 0) {
         const bool isReadAfterInstall = member.fencingTokenInstalledAt
             && (installedFencingToken >= m_fencingToken || now - *member.fencingTokenInstalledAt >= maxReportLag);
@@ -175,6 +185,7 @@
     }
     // The ranks of a group start each step together, so the latest reported step applies to all of them.
     m_latestStep = std::max(m_latestStep, state.step);
+    updateStepsAhead(now);
     for (std::size_t memberIndex = 0; memberIndex < m_ranks.size(); ++memberIndex) {
         if (m_ranks[memberIndex].session != 0) {
             execute(memberIndex, m_ranks[memberIndex].gate.engineStepped(m_latestStep.next()), now, actions);
@@ -190,6 +201,7 @@
 GroupSwitchActions GroupSwitch::tick(core::TimePoint now)
 {
     GroupSwitchActions actions;
+    updateStepsAhead(now);
     execute(m_coordinator.tick(now), now, actions);
     for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
         execute(rank, m_ranks[rank].commands.tick(now), now, actions);
@@ -198,6 +210,13 @@
     return actions;
 }
 
+void GroupSwitch::updateStepsAhead(core::TimePoint now)
+{
+    const bool hasRecentLoss = m_lastCommandLoss && now - *m_lastCommandLoss < commandLossWindow;
+    const auto steps = std::min(m_pace.stepsWithin(holdLeadTime, now).value_or(normalStepsAhead), normalStepsAhead);
+    m_coordinator.setStepsAhead(hasRecentLoss ? std::max(steps, stepsAheadAfterLoss) : steps);
+}
+
 void GroupSwitch::recordLostCommands(core::TimePoint now)
 {
     std::uint64_t lost = 0;
--- a/packages/rankgroups/src/mapchange.cpp
+++ b/packages/rankgroups/src/mapchange.cpp
@@ -18,6 +18,9 @@
 /// The active map, the next one and some that were withdrawn.
 constexpr std::size_t maxKnownMaps = 4;
 constexpr std::size_t bitsPerByte = 8;
+/// Guards against foreign bytes.
+constexpr std::uint64_t maxLists = 1U << 16U;
+constexpr std::uint64_t maxPlacements = 1U << 20U;
 constexpr unsigned maxExpertBits = std::numeric_limits<std::uint32_t>::digits;
 
 /// The lists of a map in the order of layers and, within a layer, of ranks.
@@ -87,13 +90,14 @@
     return std::binary_search(list.begin(), list.end(), expert);
 }
 
-unsigned expertBitsOf(const ExpertLists &map)
+/// The largest expert index and one.
+std::uint32_t expertCountOf(const ExpertLists &map)
 {
-    std::uint32_t largest = 0;
+    std::uint32_t count = 0;
     for (const auto *list : listsOf(map)) {
-        largest = list->empty() ? largest : std::max(largest, list->back());
+        count = list->empty() ? count : std::max(count, list->back() + 1);
     }
-    return static_cast<unsigned>(std::bit_width(largest));
+    return count;
 }
 
 void appendEdit(BitWriter &writer, const ExpertList &before, const ExpertList &after, unsigned expertBits)
@@ -152,12 +156,31 @@
     return core::stableHash(packExperts(map));
 }
 
+ExpertLists mapDealtInTurn(std::uint32_t layers, std::uint32_t ranks, std::uint32_t experts)
+{
+    const bool isPossible
+        = ranks > 0 && std::uint64_t{layers} * ranks <= maxLists && std::uint64_t{layers} * experts <= maxPlacements;
+    ExpertLists result(isPossible ? layers : 0);
+    for (auto &layer : result) {
+        layer.resize(ranks);
+        for (std::uint32_t expert = 0; expert < experts; ++expert) {
+            layer[expert % ranks].push_back(expert);
+        }
+    }
+    return result;
+}
+
 MapChange changeBetween(const ExpertLists &base, const ExpertLists &next)
 {
-    MapChange change{contentHashOf(base), contentHashOf(next), {}};
+    MapChange change;
+    change.layers = static_cast<std::uint32_t>(base.size());
+    change.ranks = static_cast<std::uint32_t>(base.empty() ? 0 : base.front().size());
+    change.experts = expertCountOf(base);
+    change.baseHash = contentHashOf(base);
+    change.resultHash = contentHashOf(next);
     const auto before = listsOf(base);
     const auto after = listsOf(next);
-    const unsigned expertBits = expertBitsOf(next);
+    const auto expertBits = static_cast<unsigned>(std::bit_width(expertCountOf(next)));
     change.edits.push_back(static_cast<char>(expertBits));
     std::string bits;
     BitWriter writer(bits);
@@ -202,11 +225,20 @@
     if (auto result = find(change.resultHash)) {
         return result;
     }
-    const auto base = find(change.baseHash);
+    const auto base = baseOf(change);
     auto result = base ? applyChange(*base, change) : std::nullopt;
     return result ? std::make_shared<const ExpertLists>(std::move(*result)) : nullptr;
 }
 
+std::shared_ptr<const ExpertLists> KnownMaps::baseOf(const MapChange &change) const
+{
+    if (auto base = find(change.baseHash)) {
+        return base;
+    }
+    auto dealt = mapDealtInTurn(change.layers, change.ranks, change.experts);
+    return contentHashOf(dealt) == change.baseHash ? std::make_shared<const ExpertLists>(std::move(dealt)) : nullptr;
+}
+
 std::shared_ptr<const ExpertLists> KnownMaps::find(std::uint64_t hash) const
 {
     const auto found
--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -107,14 +107,14 @@
 {
     std::string counts;
     appendSmallNumbers(counts, report.counts);
-    archive(report.generation, report.ranks, report.scaleBits);
+    archive(report.generation, report.step, report.ranks, report.scaleBits);
     saveBytes(archive, counts);
 }
 
 template <typename Archive>
 void load(Archive &archive, CountsReport &report)
 {
-    archive(report.generation, report.ranks, report.scaleBits);
+    archive(report.generation, report.step, report.ranks, report.scaleBits);
     const std::string bytes = loadBytes(archive);
     CompactReader reader(bytes);
     auto counts = reader.smallNumbers();
@@ -129,7 +129,8 @@
 {
     archive(command.command, command.fencingToken, command.change != nullptr);
     if (command.change) {
-        archive(command.change->baseHash, command.change->resultHash);
+        const auto &change = *command.change;
+        archive(change.layers, change.ranks, change.experts, change.baseHash, change.resultHash);
         saveBytes(archive, command.change->edits);
         return;
     }
@@ -143,7 +144,7 @@
     archive(command.command, command.fencingToken, isChange);
     if (isChange) {
         MapChange change;
-        archive(change.baseHash, change.resultHash);
+        archive(change.layers, change.ranks, change.experts, change.baseHash, change.resultHash);
         change.edits = loadBytes(archive);
         command.change = std::make_shared<const MapChange>(std::move(change));
         return;
--- a/packages/rankgroups/tests/mapchangetest.cpp
+++ b/packages/rankgroups/tests/mapchangetest.cpp
@@ -129,6 +129,23 @@
     EXPECT_EQ(*resolved, next);
 }
 
+// The first switch of a group would need the whole map for each rank.
+TEST(KnownMapsTest, mapThatAGroupIsFormedWithNeedsNotBeSent)
+{
+    const auto base = mapDealtInTurn(16, 96, 192);
+    const auto next = withReplacements(base, 6, 192);
+    const auto resolved = KnownMaps().resolve(changeBetween(base, next));
+    ASSERT_NE(resolved, nullptr);
+    EXPECT_EQ(*resolved, next);
+}
+
+TEST(KnownMapsTest, foreignSizesAllocateNothing)
+{
+    EXPECT_TRUE(mapDealtInTurn(1, 0, 5).empty());
+    EXPECT_TRUE(mapDealtInTurn(4000000000U, 4000000000U, 4000000000U).empty());
+    EXPECT_TRUE(mapDealtInTurn(1, 1, 4000000000U).empty());
+}
+
 // A leader may prepare and withdraw several maps on the same active one.
 TEST(KnownMapsTest, baseSurvivesSomeWithdrawnMaps)
 {
