--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
@@ -51,8 +51,8 @@
 /// CountsReport: from a side to its collector, and from a collector to the group's leader.
 using Datagram = std::variant<Subscription, RankStatus, CommandOrder, CommandReply, CountsReport>;
 
-/// Guards against foreign bytes: larger datagrams are rejected before decoding. Except for the experts of a command,
-/// the lengths that texts and lists claim are not checked separately.
+/// Guards against foreign bytes: larger datagrams are rejected before decoding, and a text or list in one that claims
+/// to be longer is not allocated.
 constexpr std::size_t maxDatagramBytes = 32UL * 1024;
 
 std::string encodeDatagram(const Datagram &datagram);
--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -3,6 +3,8 @@
 #include "lycheelanding/rankgroups/expertlists.h"
 #include "private/compactlists.h"
 
+#include <asio/error_code.hpp>
+#include <asio/ip/address.hpp>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
@@ -64,19 +66,41 @@
     return bytes;
 }
 
+template <typename Archive>
+void serializeText(Archive &archive, std::string &text)
+{
+    if constexpr (Archive::is_saving::value) {
+        saveBytes(archive, text);
+    } else {
+        text = loadBytes(archive);
+    }
+}
+
 } // namespace
 
 template <typename Archive>
 void serialize(Archive &archive, RankReport &report)
 {
-    archive(report.group, report.rank, report.groupSize, report.isOpen, report.state, report.installedFencingToken,
-            report.waiting, report.running, report.usedKvTokens, report.totalKvTokens, report.slowness);
+    std::string group = report.group.text();
+    serializeText(archive, group);
+    report.group = core::GroupId(std::move(group));
+    archive(report.rank, report.groupSize, report.isOpen, report.state, report.installedFencingToken, report.waiting,
+            report.running, report.usedKvTokens, report.totalKvTokens, report.slowness);
 }
 
 template <typename Archive>
 void serialize(Archive &archive, Subscription &subscription)
 {
-    archive(subscription.ledGroup, subscription.countsCollector, subscription.countsIntervalMs);
+    serializeText(archive, subscription.ledGroup);
+    serializeText(archive, subscription.countsCollector);
+    archive(subscription.countsIntervalMs);
+    asio::error_code error;
+    if (!subscription.countsCollector.empty()) {
+        asio::ip::make_address(subscription.countsCollector, error);
+    }
+    if (error) {
+        throw cereal::Exception("the collector is not an address");
+    }
 }
 
 /// Held experts go as compact lists into one list of bytes, whose length is checked before it is read.
--- a/packages/rankgroups/tests/rankdatagramstest.cpp
+++ b/packages/rankgroups/tests/rankdatagramstest.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+
 namespace lycheelanding::rankgroups {
 
 namespace {
@@ -84,6 +86,41 @@
     EXPECT_LE(encodedSize(countsOfARank()), layers * experts + 30);
 }
 
+// A foreign datagram of some bytes made a side allocate what a text in it claimed to be long: it was ended for its
+// memory.
+TEST(RankDatagramsTest, claimedLengthOfATextIsNotAllocated)
+{
+    constexpr std::uint32_t claimed = 1U << 28U;
+    constexpr long maxGrowthKilobytes = 64L * 1024;
+    for (auto bytes : {encodeDatagram(Subscription{"drafts-1", {}, 0}), encodeDatagram(statusWithHeldExperts())}) {
+        const auto textAt = bytes.find("drafts-1");
+        ASSERT_NE(textAt, std::string::npos);
+        // The length stands in front of the text, its lowest byte first.
+        for (std::size_t width : {sizeof(std::uint32_t), sizeof(std::uint64_t)}) {
+            auto foreign = bytes;
+            for (std::size_t index = 0; index < width; ++index) {
+                foreign[textAt - width + index] = static_cast<char>((std::uint64_t{claimed} >> (8U * index)) & 0xffU);
+            }
+            rusage before{};
+            getrusage(RUSAGE_SELF, &before);
+            EXPECT_FALSE(decodeDatagram(foreign));
+            rusage after{};
+            getrusage(RUSAGE_SELF, &after);
+            EXPECT_LE(after.ru_maxrss - before.ru_maxrss, maxGrowthKilobytes);
+        }
+    }
+}
+
+// The side sends to the address, and ended itself if it was none.
+TEST(RankDatagramsTest, collectorIsAnAddressOrEmpty)
+{
+    EXPECT_TRUE(decodeDatagram(encodeDatagram(Subscription{"drafts-1", "", 100})));
+    EXPECT_TRUE(decodeDatagram(encodeDatagram(Subscription{"drafts-1", "10.1.0.4", 100})));
+    for (const char *text : {"x", "10.1.0", "10.1.0.4:80", "10.1.0.400"}) {
+        EXPECT_FALSE(decodeDatagram(encodeDatagram(Subscription{"drafts-1", text, 100}))) << text;
+    }
+}
+
 TEST(RankDatagramsTest, cutDatagramIsInvalid)
 {
     for (const auto &bytes : {encodeDatagram(statusWithHeldExperts()), encodeDatagram(countsOfARank())}) {
--- a/packages/rankgroups/tests/shiftfollowingtest.cpp
+++ b/packages/rankgroups/tests/shiftfollowingtest.cpp
@@ -26,7 +26,6 @@
 
 using namespace std::chrono_literals;
 using decisions::mapswitch::CommandAnswer;
-using decisions::mapswitch::CommandKind;
 using decisions::mapswitch::FencingToken;
 
 constexpr core::TimePoint simulationStart(1h);
