--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -94,12 +94,12 @@
     serializeText(archive, subscription.ledGroup);
     serializeText(archive, subscription.countsCollector);
     archive(subscription.countsIntervalMs);
-    asio::error_code error;
-    if (!subscription.countsCollector.empty()) {
+    if constexpr (Archive::is_loading::value) {
+        asio::error_code error;
         asio::ip::make_address(subscription.countsCollector, error);
-    }
-    if (error) {
-        throw cereal::Exception("the collector is not an address");
+        if (error && !subscription.countsCollector.empty()) {
+            throw cereal::Exception("the collector is not an address");
+        }
     }
 }
 
