Registry: at most one watch in 400 ms

Now the calls of an entry are bounded whatever the fleet. A leaving server may get new work 0.4 s longer. PrefixFollower.prefixThatChangesAllTheTimeIsWatchedAtABoundedRate; without the bound it counts 2,000 watches in ten seconds.

--- a/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
+++ b/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
@@ -103,6 +103,9 @@
     /// the listing that follows Expired. A VM that was undisturbed for 3 s has to know the current configuration, so a
     /// watch must end sooner.
     std::chrono::milliseconds watchDuration = std::chrono::milliseconds(2500);
+    /// Minimum time between the starts of two watches. Under a prefix whose keys change all the time each watch ends at
+    /// once, and without this bound the calls of each process grow with the number of keys.
+    core::Duration minWatchInterval = core::Duration::zero();
     /// Time beyond watchDuration after which a watch counts as lost, as its connection may be dead without an error.
     core::Duration watchTimeoutMargin = std::chrono::milliseconds(1000);
     /// Bounds of the delay after a failed call; it doubles with each further failure.
@@ -135,11 +138,14 @@
         BackingOff,
         Reading,
         Watching,
+        /// Between two watches.
+        Pausing,
     };
 
     void startListing(core::TimePoint now, FollowerActions &actions);
     void readPage(std::string afterKey, core::TimePoint now, FollowerActions &actions);
     void watch(core::TimePoint now, FollowerActions &actions);
+    void pauseBeforeWatch(core::TimePoint now, FollowerActions &actions);
     void finishListing(core::TimePoint now, FollowerActions &actions);
     void backOff(core::TimePoint now, FollowerActions &actions);
     void recordContact(FollowerActions &actions);
@@ -150,6 +156,7 @@
     Phase m_phase = Phase::Stopped;
     StoreCallNumber m_call;
     core::TimePoint m_phaseEnd;
+    core::TimePoint m_watchStart;
     core::Duration m_retryDelay;
     /// Keys of the pages read so far.
     std::map<std::string, KeyValue> m_listing;
--- a/packages/decisions/src/distribution/prefixfollower.cpp
+++ b/packages/decisions/src/distribution/prefixfollower.cpp
@@ -78,7 +78,7 @@
         }
     }
     m_revision = std::max(m_revision, events.atRevision);
-    watch(now, actions);
+    pauseBeforeWatch(now, actions);
     return actions;
 }
 
@@ -124,6 +124,10 @@
         startListing(now, actions);
         return actions;
     }
+    if (m_phase == Phase::Pausing) {
+        watch(now, actions);
+        return actions;
+    }
     cancelCall(actions);
     backOff(now, actions);
     return actions;
@@ -151,8 +155,20 @@
     actions.emplace_back(ReadPage{m_call, std::move(afterKey)});
 }
 
+void PrefixFollower::pauseBeforeWatch(core::TimePoint now, FollowerActions &actions)
+{
+    const auto next = m_watchStart + m_settings.minWatchInterval;
+    if (now >= next) {
+        watch(now, actions);
+        return;
+    }
+    m_phase = Phase::Pausing;
+    m_phaseEnd = next;
+}
+
 void PrefixFollower::watch(core::TimePoint now, FollowerActions &actions)
 {
+    m_watchStart = now;
     m_phase = Phase::Watching;
     m_call = m_call.next();
     m_phaseEnd = now + m_settings.watchDuration + m_settings.watchTimeoutMargin;
--- a/packages/decisions/tests/distribution/prefixfollowertest.cpp
+++ b/packages/decisions/tests/distribution/prefixfollowertest.cpp
@@ -185,11 +185,41 @@
     EXPECT_TRUE(follower.watchEnded(watch->call, {{KeyValue{"a", "1", 11}}, 11}, start + 1s).empty());
 }
 
+// Backend servers renew their registrations, so that each watch of 192 of them ended at once: an entry called the store
+// five times a second, and more with each further server.
+TEST(PrefixFollower, prefixThatChangesAllTheTimeIsWatchedAtABoundedRate)
+{
+    FollowerSettings settings;
+    settings.minWatchInterval = 400ms;
+    PrefixFollower follower(settings);
+    const auto page = actionIn<ReadPage>(follower.start(start));
+    auto watch = actionIn<WatchPrefix>(follower.pageRead(page->call, {{}, false, 10}, start));
+    int watches = 0;
+    std::uint64_t revision = 10;
+    int seen = 0;
+    for (auto time = 0ms; time < 10s; time += 5ms) {
+        FollowerActions actions;
+        if (watch) {
+            ++watches;
+            ++revision;
+            actions = follower.watchEnded(watch->call, {{KeyValue{"a", "1", revision}}, revision}, start + time);
+            seen += actionIn<KeyWritten>(actions) ? 1 : 0;
+        } else {
+            actions = follower.tick(start + time);
+        }
+        watch = actionIn<WatchPrefix>(actions);
+    }
+    EXPECT_LE(watches, 26);
+    EXPECT_EQ(seen, watches);
+}
+
 /// With lost calls, late answers, dropped history and changes between pages, the follower never reverts a key to an
 /// older revision, and its view equals the store's content once calls succeed and nothing changes.
 RC_GTEST_PROP(PrefixFollowerFuzz, convergesToTheStoreAndNeverRevertsAKey, ())
 {
-    PrefixFollower follower({});
+    FollowerSettings settings;
+    settings.minWatchInterval = std::chrono::milliseconds(*rc::gen::element(0, 400));
+    PrefixFollower follower(settings);
     FakeStore store;
     std::map<std::string, KeyValue> view;
     std::map<std::string, std::uint64_t> newest;
