CountsTreeTest: each rank reads its counts nearly every step

In place of the rates that CountsScheduleTest asked for (at least 40 reads in ten seconds at 32 ranks, 99 in a small group at 100 ms): 75 at 8, 32 and 96 ranks with steps of 120 ms. For a small group that is fewer than the 99, since counts are now read once a step.

--- a/packages/rankgroups/tests/countstreetest.cpp
+++ b/packages/rankgroups/tests/countstreetest.cpp
@@ -92,6 +92,8 @@
     const std::vector<std::string> &ips() const { return m_ips; }
 
     std::size_t reportsAtLeader = 0;
+    /// Number of reads of each member's counts.
+    std::map<std::string, std::size_t> reads;
     std::uint64_t choicesAtLeader = 0;
     std::uint64_t choicesMade = 0;
 
@@ -135,6 +137,7 @@
     {
         auto &member = *m_members.at(ip);
         member.readStarted(m_step, m_now);
+        ++reads[ip];
         auto &totals = m_totals.at(ip);
         auto &lastRead = m_lastRead.try_emplace(ip, start).first->second;
         const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - lastRead).count();
@@ -220,6 +223,21 @@
     EXPECT_LE(CountsSimulation(doubledGroup).tree().routeOf({}).interval, 250ms);
 }
 
+// Guards against a shift of the demand that is seen late, since a window needs the counts of each rank: they were read
+// four times a second at least in a group of 32 ranks.
+TEST(CountsTreeTest, eachRankReadsItsCountsNearlyEveryStep)
+{
+    constexpr std::size_t minReads = 75;
+    for (const auto &group : {smallGroup, grownGroup, largeGroup}) {
+        CountsSimulation simulation(group);
+        simulation.run(10s);
+        EXPECT_EQ(simulation.reads.size(), group.ranks - 1);
+        for (const auto &[ip, reads] : simulation.reads) {
+            EXPECT_GE(reads, minReads) << ip;
+        }
+    }
+}
+
 TEST(CountsTreeTest, unknownLinkRateIsNotLimited)
 {
     EXPECT_LE(CountsSimulation({32, 12UL * 128, 0.0}).tree().routeOf({}).interval, 100ms);
