--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -155,6 +155,8 @@
     std::vector<BackendId> m_tried;
     /// Error answer of the last failed backend server; the caller receives it when there is no further attempt.
     std::optional<http::HttpResponse> m_backendFailure;
+    /// Of the last answer that a backend server began.
+    std::optional<http::BodyFraming> m_framing;
     report::AnswerTimes m_times;
     bool m_isFinished = false;
 };
--- a/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
@@ -4,6 +4,7 @@
 #include "lycheelanding/core/ids.h"
 #include "lycheelanding/core/result.h"
 #include "lycheelanding/forwarding/eventlog.h"
+#include "lycheelanding/http/httpmessages.h"
 #include "lycheelanding/report/answertimes.h"
 
 #include <cstddef>
@@ -23,6 +24,8 @@
     /// The last backend server that the request was sent to; empty if it was sent to none.
     std::string backend;
     std::size_t attempts = 0;
+    /// How the end of the last backend server's answer was marked; nullopt if none was received.
+    std::optional<http::BodyFraming> framing;
 };
 
 /// What bounds the time of a request.
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -229,6 +229,7 @@
     if (!isCurrent(attempt)) {
         return;
     }
+    m_framing = head.framing;
     m_attempt->answerClass = classifyAnswer(head, m_resources.names);
     m_attempt->head = std::move(head);
     if (m_attempt->answerClass == AnswerClass::Valid && !m_answer.canContinueWith(m_attempt->head)) {
@@ -489,9 +490,9 @@
     m_retryTimer.cancel();
     endAttempt(Outcome::Cancelled);
     m_resources.resumableStreams.erase(this);
-    m_log.writeFinished(
-        {outcome, status, m_service, m_tried.empty() ? std::string() : m_tried.back().text(), m_tried.size()}, m_times,
-        now());
+    m_log.writeFinished({outcome, status, m_service, m_tried.empty() ? std::string() : m_tried.back().text(),
+                         m_tried.size(), m_framing},
+                        m_times, now());
     if (const auto onFinished = std::exchange(m_onFinished, nullptr)) {
         onFinished();
     }
--- a/packages/forwarding/src/requestlog.cpp
+++ b/packages/forwarding/src/requestlog.cpp
@@ -91,6 +91,7 @@
                  {"service", outcome.service.text()},
                  {"backend", outcome.backend},
                  {"attempts", static_cast<std::int64_t>(outcome.attempts)},
+                 {"framing", outcome.framing ? http::nameOf(*outcome.framing) : std::string_view()},
                  {"ms", millisecondsOf(now - m_arrival)},
                  {"waitedMs", millisecondsOf(m_firstSent.value_or(now) - m_arrival)},
                  {"firstMs", times.first() ? millisecondsOf(*times.first() - m_arrival) : -1},
--- a/packages/forwarding/tests/requestlogdiagnosistest.cpp
+++ b/packages/forwarding/tests/requestlogdiagnosistest.cpp
@@ -129,6 +129,21 @@
     EXPECT_EQ(numberIn(requestOver, "waitedMs"), numberIn(requestOver, "ms")) << requestOver;
 }
 
+// Incident inc1: an answer that was cut off and passed on as complete could not be told from a complete one.
+TEST(RequestLogDiagnosis, answerLogsHowItsEndWasMarked)
+{
+    LogPipe pipe;
+    EntrySimulation simulation(pipe.descriptor());
+    simulation.configure(RouteKind::Idempotent);
+    simulation.addBackend([](const std::string &) {
+        return ScriptedResponse{"HTTP/1.1 200 OK\r\nProof: p\r\nAttempt: 77\r\n\r\nwhole", true};
+    });
+    EXPECT_TRUE(simulation.exchange(callerRequest("GET")).starts_with("HTTP/1.1 200 "));
+    simulation.log().flush();
+    const auto requestOver = lineOf(pipe.linesOf("77"), "requestOver");
+    EXPECT_TRUE(contains(requestOver, "\"framing\":\"connectionEnd\"")) << requestOver;
+}
+
 TEST(RequestLogDiagnosis, unknownOutcomeLogsTheBackendAndASingleAttempt)
 {
     LogPipe pipe;
--- a/packages/http/include/lycheelanding/http/clientconnection.h
+++ b/packages/http/include/lycheelanding/http/clientconnection.h
@@ -23,6 +23,7 @@
     HttpHeaders headers;
     /// Unset for a chunked body and for a body that ends when the server closes the connection.
     std::optional<std::uint64_t> bodyBytes;
+    BodyFraming framing = BodyFraming::NoBody;
 };
 
 /// Called in the order head, body, end. A failure may replace any of these and is the last call.
--- a/packages/http/include/lycheelanding/http/httpmessages.h
+++ b/packages/http/include/lycheelanding/http/httpmessages.h
@@ -50,6 +50,20 @@
 /// Whether two field names are equal, ignoring case.
 bool isSameHeaderName(std::string_view left, std::string_view right);
 
+/// How the end of an answer's body is marked.
+enum class BodyFraming : std::uint8_t {
+    /// The answer has no body.
+    NoBody,
+    ContentLength,
+    Chunked,
+    /// The body ends when the server closes the connection, so a body that was cut off is not recognised by HTTP.
+    ConnectionEnd,
+};
+
+std::string_view nameOf(BodyFraming framing);
+/// The framing of an answer to a request other than HEAD.
+BodyFraming bodyFramingOf(int status, const HttpHeaders &headers);
+
 struct HttpRequest
 {
     std::string method;
--- a/packages/http/src/clientconnection.cpp
+++ b/packages/http/src/clientconnection.cpp
@@ -227,6 +227,7 @@
 {
     AnswerHead answer{head.status, std::move(head.headers), std::nullopt};
     answer.bodyBytes = contentLength(answer.headers);
+    answer.framing = m_isHeadRequest ? BodyFraming::NoBody : bodyFramingOf(answer.status, answer.headers);
     m_isInterim = answer.status < firstFinalStatus && answer.status != switchingProtocols;
     m_matchesRequest = !m_handlers.matchesRequest || m_handlers.matchesRequest(answer);
     m_keepAliveUntil.reset();
--- a/packages/http/src/httpmessages.cpp
+++ b/packages/http/src/httpmessages.cpp
@@ -1,5 +1,7 @@
 #include "lycheelanding/http/httpmessages.h"
 
+#include "lycheelanding/core/nametable.h"
+
 #include "private/headertext.h"
 #include "private/reasonphrases.h"
 
@@ -17,6 +19,17 @@
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
+constexpr int firstFinalStatus = 200;
+constexpr int noContent = 204;
+constexpr int notModified = 304;
+
+constexpr std::array<core::NameEntry<BodyFraming>, 4> bodyFramingNames{{
+    {BodyFraming::NoBody, "none"},
+    {BodyFraming::ContentLength, "contentLength"},
+    {BodyFraming::Chunked, "chunked"},
+    {BodyFraming::ConnectionEnd, "connectionEnd"},
+}};
+
 /// A percent sign that is not followed by two hexadecimal digits is kept.
 std::string percentDecoded(std::string_view text)
 {
@@ -45,6 +58,25 @@
                       [](char one, char other) { return toAsciiLower(one) == toAsciiLower(other); });
 }
 
+std::string_view nameOf(BodyFraming framing)
+{
+    return core::nameIn(bodyFramingNames, framing);
+}
+
+BodyFraming bodyFramingOf(int status, const HttpHeaders &headers)
+{
+    if (status < firstFinalStatus || status == noContent || status == notModified) {
+        return BodyFraming::NoBody;
+    }
+    if (const auto encoding = headers.find("Transfer-Encoding")) {
+        constexpr std::string_view chunked = "chunked";
+        const bool isChunked = encoding->size() >= chunked.size()
+            && isSameHeaderName(std::string_view(*encoding).substr(encoding->size() - chunked.size()), chunked);
+        return isChunked ? BodyFraming::Chunked : BodyFraming::ConnectionEnd;
+    }
+    return headers.find("Content-Length") ? BodyFraming::ContentLength : BodyFraming::ConnectionEnd;
+}
+
 bool isFramingHeader(std::string_view name)
 {
     constexpr std::array<std::string_view, 5> names{"content-length", "transfer-encoding", "connection", "keep-alive",
--- a/packages/http/tests/httpmessagestest.cpp
+++ b/packages/http/tests/httpmessagestest.cpp
@@ -25,4 +25,21 @@
     EXPECT_EQ(request.queryParameter("none"), std::nullopt);
 }
 
+TEST(HttpMessages, bodyFramingFollowsFromStatusAndHeaders)
+{
+    HttpHeaders none;
+    HttpHeaders length;
+    length.add("content-length", "3");
+    HttpHeaders chunked;
+    chunked.add("Transfer-Encoding", "gzip, Chunked");
+    HttpHeaders encoded;
+    encoded.add("Transfer-Encoding", "gzip");
+    EXPECT_EQ(bodyFramingOf(200, none), BodyFraming::ConnectionEnd);
+    EXPECT_EQ(bodyFramingOf(200, length), BodyFraming::ContentLength);
+    EXPECT_EQ(bodyFramingOf(200, chunked), BodyFraming::Chunked);
+    EXPECT_EQ(bodyFramingOf(200, encoded), BodyFraming::ConnectionEnd);
+    EXPECT_EQ(bodyFramingOf(204, none), BodyFraming::NoBody);
+    EXPECT_EQ(bodyFramingOf(304, length), BodyFraming::NoBody);
+}
+
 } // namespace lycheelanding::http
