--- a/packages/forwarding/tests/brokenstreamstest.cpp
+++ b/packages/forwarding/tests/brokenstreamstest.cpp
@@ -10,6 +10,9 @@
 
 const std::string firstHead = "HTTP/1.1 200 OK\r\nProof: first\r\nAttempt: 77\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string secondHead = "HTTP/1.1 200 OK\r\nProof: second\r\nAttempt: 77\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// An answer with neither a length nor chunks: it ends with its connection.
+const std::string firstUnframedHead = "HTTP/1.1 200 OK\r\nProof: first\r\nAttempt: 77\r\n\r\n";
+const std::string secondUnframedHead = "HTTP/1.1 200 OK\r\nProof: second\r\nAttempt: 77\r\n\r\n";
 const std::string lastChunk = "0\r\n\r\n";
 
 std::string event(int id)
@@ -268,4 +271,72 @@
     EXPECT_FALSE(stream.answer.ends_with(lastChunk));
 }
 
+// Incident inc1: the end of the connection was taken for the end of the answer.
+TEST(BrokenStreams, unframedStreamThatEndsInsideAnEventIsResumed)
+{
+    const StreamSimulation stream({firstUnframedHead + event(1) + event(2) + "id: 3\nda", true},
+                                  {secondUnframedHead + event(3) + event(4), true});
+    stream.expectCompleteStream(4);
+    EXPECT_NE(stream.resumedRequest().find("Last-Event-ID: 2\r\n"), std::string::npos);
+}
+
+// The same fault, at the last attempt that the route allows: the caller saw a shorter stream that looked complete.
+TEST(BrokenStreams, unframedStreamThatEndsInsideAnEventDoesNotLookComplete)
+{
+    const StreamSimulation stream({firstUnframedHead + event(1) + "id: 2\nda", true},
+                                  {secondUnframedHead + event(2) + "id: 3\ndata: part3\n", true});
+    EXPECT_EQ(stream.requestCount, 2);
+    EXPECT_EQ(countOf(stream.answer, "data: part2\n"), 1U);
+    EXPECT_FALSE(stream.answer.ends_with(lastChunk)) << stream.answer;
+}
+
+// The same fault where no other backend server may resume the stream.
+TEST(BrokenStreams, nonResumableUnframedStreamThatEndsInsideAnEventDoesNotLookComplete)
+{
+    const StreamSimulation stream({firstUnframedHead + event(1) + "id: 2\nda", true}, {secondHead + lastChunk}, false);
+    EXPECT_EQ(stream.requestCount, 1);
+    EXPECT_FALSE(stream.answer.ends_with(lastChunk)) << stream.answer;
+}
+
+// The same fault in its shortest form: the backend server crashes between the head and the first event.
+TEST(BrokenStreams, unframedStreamWithoutAnEventIsRetried)
+{
+    const StreamSimulation stream({firstUnframedHead, true}, {firstUnframedHead + event(1) + event(2), true});
+    EXPECT_EQ(stream.requestCount, 2);
+    stream.expectCompleteStream(2);
+}
+
+// A last chunk after half an event, as a proxy beside the backend server writes it, is no end either.
+TEST(BrokenStreams, chunkedStreamThatEndsInsideAnEventIsResumed)
+{
+    const StreamSimulation stream({firstHead + chunk(event(1) + "id: 2\nda") + lastChunk},
+                                  {secondHead + chunk(event(2) + event(3)) + lastChunk});
+    stream.expectCompleteStream(3);
+}
+
+TEST(BrokenStreams, unframedStreamThatEndsAfterAnEventIsComplete)
+{
+    const StreamSimulation stream({firstUnframedHead + event(1) + event(2), true}, {secondUnframedHead, true});
+    EXPECT_EQ(stream.requestCount, 1);
+    stream.expectCompleteStream(2);
+}
+
+TEST(BrokenStreams, unframedStreamThatEndsWithACommentIsComplete)
+{
+    const StreamSimulation stream({firstUnframedHead + event(1) + ": keep-alive\n", true}, {secondUnframedHead, true});
+    EXPECT_EQ(stream.requestCount, 1);
+    stream.expectCompleteStream(1);
+    EXPECT_NE(stream.answer.find(": keep-alive\n"), std::string::npos);
+}
+
+// Only an event stream shows where it was cut off; other bodies of such a route end with their connection.
+TEST(BrokenStreams, unframedAnswerOfAnotherContentTypeIsComplete)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nProof: first\r\nAttempt: 77\r\nContent-Type: application/json\r\n\r\n";
+    const StreamSimulation stream({head + "{\"a\":1}", true}, {secondUnframedHead, true});
+    EXPECT_EQ(stream.requestCount, 1);
+    EXPECT_NE(stream.answer.find("{\"a\":1}"), std::string::npos) << stream.answer;
+    EXPECT_TRUE(stream.answer.ends_with(lastChunk)) << stream.answer;
+}
+
 } // namespace lycheelanding::forwarding
--- a/packages/http/tests/httpclienttest.cpp
+++ b/packages/http/tests/httpclienttest.cpp
@@ -152,6 +152,41 @@
     }
 }
 
+// Incident inc1 on the path over a side: the end of the connection was taken for the end of the event stream.
+TEST(HttpClient, unframedEventStreamThatEndsInsideAnEventIsLost)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream; charset=utf-8\r\n\r\n";
+    for (const std::string events : {"", "id: 1\n", "data: a\n\ndata: b", "data: a\r\n\r\ndata: b\r\n"}) {
+        RawListener listener;
+        HttpClient client;
+        auto result = std::async(std::launch::async, [&] { return client.fetchAndWait(getRequest(listener.url())); });
+        auto socket = listener.accept();
+        readRequest(socket, 0);
+        asio::write(socket, asio::buffer(head + events));
+        socket.close();
+        const auto answer = result.get();
+        ASSERT_FALSE(core::isOk(answer)) << events;
+        EXPECT_EQ(kindOf(answer), ErrorKind::BackendServerLost);
+    }
+}
+
+TEST(HttpClient, unframedEventStreamThatEndsAfterAnEventIsComplete)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    for (const std::string events : {"data: a\n\n", "data: a\r\n\r\n", "data: a\r\r", "data: a\n\n: comment\n"}) {
+        RawListener listener;
+        HttpClient client;
+        auto result = std::async(std::launch::async, [&] { return client.fetchAndWait(getRequest(listener.url())); });
+        auto socket = listener.accept();
+        readRequest(socket, 0);
+        asio::write(socket, asio::buffer(head + events));
+        socket.close();
+        const auto answer = result.get();
+        ASSERT_TRUE(core::isOk(answer)) << events;
+        EXPECT_EQ(core::valueOf(answer).body, events);
+    }
+}
+
 TEST(HttpClient, doesNotSendAPostTwice)
 {
     RawListener listener;
