An event stream that ends inside an event is a lost answer, whatever marks its end

What callers saw: a stream whose backend server had crashed reached them with its last chunk, as if it were complete; with half an event at its end. Cause: an answer with neither a length nor chunks ends with its connection, so ClientConnection took the FIN of a crashed backend server for the end of the answer. CallerAnswer flushed the half event and finished the caller's answer. Fix: ClientConnection, which both entries and sides use, scans event streams; the end of one inside an event, or of one without framing before its first event, fails the answer like any lost connection, so that it is resumed, retried or broken off by the existing decisions. A last chunk after half an event counts the same. A length stays authoritative. EventStreamParser uses the same scanner and so knows all three line ends of an event stream, and reads each byte once.

--- a/packages/daemon/src/entry/basicanswerwriter.h
+++ b/packages/daemon/src/entry/basicanswerwriter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/answerwriter.h"
+#include "lycheelanding/http/eventstreamscanner.h"
 #include "shared/answerframing.h"
 #include "shared/forwardedheaders.h"
 #include "shared/problemdetails.h"
@@ -14,11 +15,6 @@
 /// Answers up to this size are buffered until they are complete.
 constexpr std::size_t maxBufferedBytes = std::size_t{256} * 1024;
 
-inline bool isEventStream(const http::HttpHeaders &headers)
-{
-    return headers.find("Content-Type").value_or("").rfind("text/event-stream", 0) == 0;
-}
-
 template <AnswerExchange Exchange>
 BasicAnswerWriter<Exchange>::BasicAnswerWriter(std::shared_ptr<Exchange> exchange, std::size_t maxUnsentBytes)
     : m_exchange(std::move(exchange)), m_maxUnsentBytes(maxUnsentBytes)
@@ -83,7 +79,7 @@
     }
     m_status = core::valueOf(start).status;
     m_headers = shared::forwardedHeaders(core::valueOf(start).headers);
-    return isEventStream(m_headers) ? beginStream() : core::Status(core::Done());
+    return http::isEventStream(m_headers) ? beginStream() : core::Status(core::Done());
 }
 
 template <AnswerExchange Exchange>
--- a/packages/forwarding/include/lycheelanding/forwarding/eventstreamparser.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/eventstreamparser.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "lycheelanding/http/eventstreamscanner.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,12 +19,13 @@
     /// Returns the remaining bytes after the regular end of the stream.
     std::string flush();
     /// Discards an incomplete event, because another backend server resumes the stream.
-    void restart() { m_partial.clear(); }
+    void restart();
 
     /// Id of the last returned event that had one; nullopt if there was none.
     const std::optional<std::uint64_t> &lastId() const { return m_lastId; }
 
 private:
+    http::EventStreamScanner m_scanner;
     std::string m_partial;
     std::optional<std::uint64_t> m_lastId;
 };
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -217,6 +217,7 @@
     handlers.matchesRequest = [self](const http::AnswerHead &head) {
         return isAnswerTo(head, self->m_resources.names, self->m_attemptName);
     };
+    handlers.expectsEventStream = m_route->kind == RouteKind::Stream;
     handlers.onHead = [self, attempt](http::AnswerHead head) { self->onHead(attempt, std::move(head)); };
     handlers.onBody = [self, attempt](std::string_view bytes) { self->onBody(attempt, bytes); };
     handlers.onEnd = [self, attempt](bool isReusable) { self->onEnd(attempt, isReusable); };
--- a/packages/http/include/lycheelanding/http/clientconnection.h
+++ b/packages/http/include/lycheelanding/http/clientconnection.h
@@ -32,11 +32,14 @@
     /// Whether the answer belongs to this request. Other answers, such as a second answer to an earlier request, are
     /// skipped. When unset, every answer belongs to it.
     std::function<bool(const AnswerHead &head)> matchesRequest;
+    /// Whether a successful answer without a content type is an event stream.
+    bool expectsEventStream = false;
     std::function<void(AnswerHead head)> onHead;
     std::function<void(std::string_view bytes)> onBody;
     /// The answer is complete. The connection can carry another request only if `isReusable`.
     std::function<void(bool isReusable)> onEnd;
-    /// The connection was lost or the server violated HTTP; the connection is closed.
+    /// The connection was lost, an event stream ended inside an event or the server violated HTTP; the connection is
+    /// closed.
     std::function<void(const core::Error &error)> onFailed;
 };
 
--- a/packages/http/src/clientconnection.cpp
+++ b/packages/http/src/clientconnection.cpp
@@ -1,5 +1,6 @@
 #include "lycheelanding/http/clientconnection.h"
 
+#include "lycheelanding/http/eventstreamscanner.h"
 #include "private/messageparser.h"
 
 #include <asio/post.hpp>
@@ -23,6 +24,7 @@
 
 constexpr int firstFinalStatus = 200;
 constexpr int switchingProtocols = 101;
+constexpr int firstRedirect = 300;
 /// A connection is not reused within this time of the end of its Keep-Alive time, so that few requests are sent while
 /// the server closes the connection.
 constexpr std::chrono::milliseconds keepAliveMargin{1000};
@@ -83,6 +85,8 @@
     void read();
     void onRead(const asio::error_code &error, std::size_t size);
     void parse(std::string_view bytes);
+    bool isEventStreamBody(const AnswerHead &answer) const;
+    bool isStreamCutOff() const;
     void endAnswer(bool hasMoreBytes);
     void fail(const std::string &reason);
 
@@ -97,6 +101,9 @@
     std::function<void(const core::Status &)> m_onConnected;
     std::function<void()> m_onIdleEnd;
     AnswerHandlers m_handlers;
+    BodyFraming m_framing = BodyFraming::NoBody;
+    /// Set while the answer in progress is an event stream.
+    std::optional<EventStreamScanner> m_events;
     std::optional<SteadyTime> m_keepAliveUntil;
     bool m_isOpen = false;
     bool m_isHeadRequest = false;
@@ -236,14 +243,47 @@
             m_keepAliveUntil = std::chrono::steady_clock::now() + *time - keepAliveMargin;
         }
     }
+    m_framing = answer.framing;
+    m_events.reset();
+    if (isEventStreamBody(answer)) {
+        m_events.emplace();
+    }
     if (m_matchesRequest && !m_isInterim && m_handlers.onHead) {
         m_handlers.onHead(std::move(answer));
     }
     return !m_isHeadRequest;
 }
 
+bool ClientConnection::Private::isEventStreamBody(const AnswerHead &answer) const
+{
+    // A length already says where the body ends.
+    if (answer.framing != BodyFraming::Chunked && answer.framing != BodyFraming::ConnectionEnd) {
+        return false;
+    }
+    if (answer.headers.find("Content-Type")) {
+        return isEventStream(answer.headers);
+    }
+    return m_handlers.expectsEventStream && answer.status < firstRedirect;
+}
+
+bool ClientConnection::Private::isStreamCutOff() const
+{
+    if (!m_events) {
+        return false;
+    }
+    // A crash right after the head closes the connection like an empty stream; a stream has at least one event.
+    const bool isEmpty = m_framing == BodyFraming::ConnectionEnd && !m_events->hasSeenEvent();
+    return isEmpty || m_events->isInsideEvent();
+}
+
 void ClientConnection::Private::onBody(std::string_view bytes)
 {
+    if (m_events) {
+        auto rest = bytes;
+        while (const auto eventBytes = m_events->findEventEnd(rest)) {
+            rest.remove_prefix(*eventBytes);
+        }
+    }
     if (m_matchesRequest && !m_isInterim && m_isOpen && m_handlers.onBody) {
         m_handlers.onBody(bytes);
     }
@@ -253,6 +293,10 @@
 
 void ClientConnection::Private::endAnswer(bool hasMoreBytes)
 {
+    if (isStreamCutOff()) {
+        fail("the event stream ended inside an event");
+        return;
+    }
     // If the server answers before it has read the whole request, it would parse the rest of the body as the next one.
     const bool isReusable = m_isOpen && m_parser.isKeepAlive() && !m_isWriting && !hasMoreBytes && !m_hasSkippedAnswer;
     const auto handlers = std::exchange(m_handlers, {});
--- /dev/null
+++ b/packages/http/src/eventstreamscanner.cpp
@@ -0,0 +1,47 @@
+#include "lycheelanding/http/eventstreamscanner.h"
+
+#include <string>
+#include <utility>
+
+namespace lycheelanding::http {
+
+bool isEventStream(const HttpHeaders &headers)
+{
+    return headers.find("Content-Type").value_or(std::string()).starts_with("text/event-stream");
+}
+
+std::optional<std::size_t> EventStreamScanner::findEventEnd(std::string_view bytes)
+{
+    for (std::size_t index = 0; index < bytes.size(); ++index) {
+        const char byte = bytes[index];
+        const bool isAfterCarriageReturn = std::exchange(m_isAfterCarriageReturn, byte == '\r');
+        if (isAfterCarriageReturn && byte == '\n') {
+            continue;
+        }
+        if (byte != '\r' && byte != '\n') {
+            m_isComment = m_isInsideLine ? m_isComment : byte == ':';
+            m_isInsideLine = true;
+            continue;
+        }
+        if (m_isInsideLine) {
+            endLine();
+            continue;
+        }
+        m_hasSeenEvent = m_hasSeenEvent || m_hasField;
+        m_hasField = false;
+        // The line feed of the empty line belongs to the event, if it is there already.
+        const bool hasLineFeed = byte == '\r' && index + 1 < bytes.size() && bytes[index + 1] == '\n';
+        m_isAfterCarriageReturn = byte == '\r' && !hasLineFeed;
+        return index + (hasLineFeed ? 2 : 1);
+    }
+    return std::nullopt;
+}
+
+void EventStreamScanner::endLine()
+{
+    m_hasField = m_hasField || !m_isComment;
+    m_isInsideLine = false;
+    m_isComment = false;
+}
+
+} // namespace lycheelanding::http
