An answer to an HTTP/1.0 caller that was broken off ends with a reset

Found while looking for the cause elsewhere; no report of callers. HttpServer.abortedAnswerToAnHttp10CallerIsReset failed before (end of file in place of a reset) and passes now; so does completeAnswerToAnHttp10CallerIsNotReset, before and after. Answers with chunks or a length close as before. A process that is killed still closes such connections regularly; nothing of ours runs then.

--- a/packages/http/src/private/serverconnection.cpp
+++ b/packages/http/src/private/serverconnection.cpp
@@ -251,6 +251,7 @@
     }
     answer->hasEnded = true;
     answer->isKeepAlive = false;
+    answer->isAborted = true;
     // Output that is queued still reaches the caller, which sees an incomplete answer when the connection closes.
     send({"", answer, 0, true});
 }
@@ -329,6 +330,10 @@
 
 void ServerConnection::endAnswer(const ServerAnswerPointer &answer)
 {
+    if (answer->isAborted && answer->framing == ServerAnswer::Framing::UntilClose) {
+        close();
+        return;
+    }
     m_current.reset();
     answer->onCallerGone = nullptr;
     m_connections->exchangeClosed();
@@ -369,6 +374,10 @@
         return;
     }
     asio::error_code ignored;
+    if (m_current && m_current->framing == ServerAnswer::Framing::UntilClose) {
+        // A regular close would mark the end of a complete answer.
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     m_socket.close(ignored);
     m_connections->remove(this);
     handleCallerGone();
--- a/packages/http/src/private/serverconnection.h
+++ b/packages/http/src/private/serverconnection.h
@@ -41,6 +41,7 @@
     bool isKeepAlive = true;
     bool hasBegun = false;
     bool hasEnded = false;
+    bool isAborted = false;
     bool isCallerGone = false;
     Framing framing = Framing::Chunked;
     /// With Framing::ContentLength: body bytes that are still to be sent.
--- a/packages/http/tests/httpservertest.cpp
+++ b/packages/http/tests/httpservertest.cpp
@@ -179,6 +179,34 @@
     EXPECT_EQ(stream.find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+// Incident inc1 towards callers: an answer to HTTP/1.0 ends with its connection, so one that was broken off looked
+// complete.
+TEST(HttpServer, abortedAnswerToAnHttp10CallerIsReset)
+{
+    TestServer server([](const HttpExchangePointer &exchange) {
+        exchange->startStream(200, {});
+        exchange->sendChunk("half");
+        exchange->abort();
+    });
+    RawConnection connection(server.server().port());
+    connection.send("GET /x HTTP/1.0\r\n\r\n");
+    connection.readUntilClosed();
+    EXPECT_TRUE(connection.wasReset);
+}
+
+TEST(HttpServer, completeAnswerToAnHttp10CallerIsNotReset)
+{
+    TestServer server([](const HttpExchangePointer &exchange) {
+        exchange->startStream(200, {});
+        exchange->sendChunk("whole");
+        exchange->finish();
+    });
+    RawConnection connection(server.server().port());
+    connection.send("GET /x HTTP/1.0\r\n\r\n");
+    EXPECT_TRUE(connection.readUntilClosed().ends_with("\r\n\r\nwhole"));
+    EXPECT_FALSE(connection.wasReset);
+}
+
 TEST(HttpServer, stopAcceptingLetsRunningExchangesEnd)
 {
     std::promise<HttpExchangePointer> started;
