--- a/packages/forwarding/include/lycheelanding/forwarding/fieldnames.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/fieldnames.h
@@ -25,6 +25,9 @@
     std::string tokens;
     /// The caller's estimate of the number of answer tokens.
     std::string lengthHint;
+    /// Parts of the prompt in their order, as a comma-separated list of id and number of tokens, separated by a colon.
+    /// The last part belongs to the request alone.
+    std::string promptParts;
 };
 
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -99,6 +99,7 @@
     std::optional<ReservedBackend> reserveReplacement(const core::Error &error, core::Duration inactivity);
     std::optional<RetryDenial> retryDenial() const;
     decisions::retry::FailedAttempt failedAttempt(const core::Error &error, core::Ran ran) const;
+    FailedAttemptLine failedAttemptLine(const core::Error &error) const;
     std::optional<ReservedBackend> reserveBackend(const BackendRequirements &request);
     BackendRequirements backendRequirements() const;
     void beginAttempt(const ReservedBackend &reserved);
@@ -144,6 +145,7 @@
     core::OrganisationId m_organisation;
     std::string m_attemptName;
     TokenCounts m_tokens;
+    decisions::quarantine::PromptParts m_promptParts;
     core::TimePoint m_deadline;
     TimeLimitSource m_deadlineSource = TimeLimitSource::Route;
     WaitLimits m_limits;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedfields.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedfields.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheelanding/core/ids.h"
+#include "lycheelanding/decisions/quarantine/promptparts.h"
 #include "lycheelanding/forwarding/fieldnames.h"
 #include "lycheelanding/http/httpmessages.h"
 
@@ -38,4 +39,8 @@
 };
 TokenCounts tokenCountsOf(const http::HttpHeaders &headers, const FieldNames &names);
 
+/// The parts of the prompt that other requests may share, that is all but the last; empty without the field. Parts
+/// beyond a limit and those with an empty or overlong id are left out.
+decisions::quarantine::PromptParts sharedPromptPartsOf(const http::HttpHeaders &headers, const FieldNames &names);
+
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
@@ -68,6 +68,8 @@
     std::string backend;
     /// Attempts so far.
     std::size_t attempts = 0;
+    /// Ids of the parts of the prompt that other requests may share, separated by spaces.
+    std::string promptParts;
 };
 
 /// Writes the lines of one request to the event log.
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -21,6 +21,15 @@
 /// Opening a connection may take the remaining time divided by this, so that another backend server can still be tried.
 constexpr int connectTimeoutDivisor = 3;
 
+std::string joinedText(const decisions::quarantine::PromptParts &parts)
+{
+    std::string text;
+    for (const auto &part : parts) {
+        text.append(text.empty() ? "" : " ").append(part.text());
+    }
+    return text;
+}
+
 core::Error backendLostError(const core::Error &error)
 {
     return {core::ErrorKind::BackendServerLost, error.detail};
@@ -68,6 +77,7 @@
     m_route = core::valueOf(route);
     m_service = m_routes->serviceFor(*m_route, core::stableHash(m_attemptName));
     m_tokens = tokenCountsOf(request.headers, m_resources.names);
+    m_promptParts = sharedPromptPartsOf(request.headers, m_resources.names);
     const auto timeLeft = millisecondsIn(request.headers, m_resources.names.timeLeft);
     m_deadline = m_arrival + m_route->timeout;
     if (timeLeft) {
@@ -401,10 +411,15 @@
     return {static_cast<std::uint32_t>(m_tried.size()), error, ran, m_route->isIdempotent(), m_deadline};
 }
 
+FailedAttemptLine ForwardedExchange::failedAttemptLine(const core::Error &error) const
+{
+    return {error, m_tried.back().text(), m_tried.size(), joinedText(m_promptParts)};
+}
+
 void ForwardedExchange::execute(const RetryPossible &action)
 {
     if (const auto denial = retryDenial()) {
-        m_log.writeRetryDenied(*denial, {action.error, m_tried.back().text(), m_tried.size()});
+        m_log.writeRetryDenied(*denial, failedAttemptLine(action.error));
         execute(m_attempts->giveUp(action.error));
         return;
     }
@@ -414,12 +429,12 @@
     const auto decision = m_resources.retries.attemptFailed(m_service, failedAttempt(action.error, action.ran), now());
     if (const auto *giveUp = std::get_if<decisions::retry::GiveUp>(&decision)) {
         m_resources.metrics.increment(report::Counter::RetriesDeniedByBudget);
-        m_log.writeRetryDenied(RetryDenial::Policy, {giveUp->error, m_tried.back().text(), m_tried.size()});
+        m_log.writeRetryDenied(RetryDenial::Policy, failedAttemptLine(giveUp->error));
         execute(m_attempts->giveUp(giveUp->error));
         return;
     }
     m_resources.metrics.increment(report::Counter::RetriesSent);
-    m_log.writeRetry({action.error, m_tried.back().text(), m_tried.size()});
+    m_log.writeRetry(failedAttemptLine(action.error));
     if (const auto replacement = std::exchange(m_replacement, std::nullopt)) {
         // The backoff would only delay an attempt whose place is reserved.
         beginAttempt(*replacement);
--- a/packages/forwarding/src/forwardedfields.cpp
+++ b/packages/forwarding/src/forwardedfields.cpp
@@ -17,6 +17,9 @@
 /// Names the event after which an event stream is resumed (WHATWG HTML, server-sent events).
 constexpr std::string_view lastEventField = "Last-Event-ID";
 
+constexpr std::size_t maxPromptParts = 16;
+constexpr std::size_t maxPromptPartBytes = 64;
+
 std::optional<std::uint64_t> parseNumber(std::string_view text)
 {
     std::uint64_t number = 0;
@@ -79,4 +82,21 @@
     return counts;
 }
 
+decisions::quarantine::PromptParts sharedPromptPartsOf(const http::HttpHeaders &headers, const FieldNames &names)
+{
+    decisions::quarantine::PromptParts parts;
+    const auto text = headers.find(names.promptParts);
+    std::string_view rest = text ? std::string_view(*text) : std::string_view();
+    for (auto comma = rest.find(','); comma != std::string_view::npos && parts.size() < maxPromptParts;
+         comma = rest.find(',')) {
+        auto id = rest.substr(0, std::min(rest.find(':'), comma));
+        id.remove_prefix(std::min(id.find_first_not_of(' '), id.size()));
+        if (!id.empty() && id.size() <= maxPromptPartBytes) {
+            parts.emplace_back(std::string(id));
+        }
+        rest.remove_prefix(comma + 1);
+    }
+    return parts;
+}
+
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/src/requestlog.cpp
+++ b/packages/forwarding/src/requestlog.cpp
@@ -45,6 +45,7 @@
                  {"reason", core::nameOf(failed.error.kind)},
                  {"detail", failed.error.detail},
                  {"backend", failed.backend},
+                 {"promptParts", failed.promptParts},
                  {"attempts", static_cast<std::int64_t>(failed.attempts)}});
 }
 
@@ -56,6 +57,7 @@
                  {"reason", core::nameOf(failed.error.kind)},
                  {"detail", failed.error.detail},
                  {"backend", failed.backend},
+                 {"promptParts", failed.promptParts},
                  {"attempts", static_cast<std::int64_t>(failed.attempts)}});
 }
 
--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -231,6 +231,7 @@
         settings.names.proof = "Proof";
         settings.names.tokens = "Tokens";
         settings.names.lengthHint = "Hint";
+        settings.names.promptParts = "Parts";
         return settings;
     }
 
--- a/packages/forwarding/tests/requestlogdiagnosistest.cpp
+++ b/packages/forwarding/tests/requestlogdiagnosistest.cpp
@@ -144,6 +144,22 @@
     EXPECT_TRUE(contains(requestOver, "\"framing\":\"connectionEnd\"")) << requestOver;
 }
 
+// Incident second1: lost attempts with a common part in their prompts could not be told from others.
+TEST(RequestLogDiagnosis, retryLogsTheSharedPartsOfThePrompt)
+{
+    LogPipe pipe;
+    EntrySimulation simulation(pipe.descriptor());
+    simulation.configure(RouteKind::Stream);
+    for (int backend = 0; backend < 2; ++backend) {
+        simulation.addBackend([](const std::string &) { return ScriptedResponse{"", true}; });
+    }
+    simulation.exchange(callerRequest("POST", "prompt", "Parts: 5c1e:800, 91bd:410,e440:250\r\n"));
+    simulation.log().flush();
+    const auto lines = pipe.linesOf("77");
+    EXPECT_TRUE(contains(lineOf(lines, "retry"), "\"promptParts\":\"5c1e 91bd\"")) << lineOf(lines, "retry");
+    EXPECT_TRUE(contains(lineOf(lines, "retryDenied"), "\"promptParts\":\"5c1e 91bd\""));
+}
+
 TEST(RequestLogDiagnosis, unknownOutcomeLogsTheBackendAndASingleAttempt)
 {
     LogPipe pipe;
