--- /dev/null
+++ b/packages/forwarding/tests/crashingrequeststest.cpp
@@ -0,0 +1,121 @@
+#include "entrysimulation.h"
+
+#include <gtest/gtest.h>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+/// Crashes that may happen before a part of a prompt is recognised, and requests with it that may be sent later: the
+/// users' bound.
+constexpr int crashesUntilRecognised = 5;
+constexpr int requestsSentLater = 3;
+constexpr int backendCount = 12;
+
+const std::string crashingPart = "bad";
+const std::string lastChunk = "0\r\n\r\n";
+
+std::string promptOf(const std::string &sharedParts, int number)
+{
+    return "Parts: " + sharedParts + ",own" + std::to_string(number) + ":250\r\n";
+}
+
+/// An entry whose backend servers end when they begin to answer a request with a certain part in its prompt. Others
+/// take their places.
+struct CrashSimulation
+{
+    CrashSimulation()
+    {
+        simulation.configure(RouteKind::Stream);
+        for (int number = 0; number < backendCount; ++number) {
+            addBackend();
+        }
+    }
+
+    void addBackend()
+    {
+        simulation.addBackend(
+            [this, number = ++backends](const std::string &request) { return respond(request, number); });
+    }
+
+    ScriptedResponse respond(const std::string &request, int backend)
+    {
+        if (request.find(crashingPart + ":") == std::string::npos) {
+            return {"HTTP/1.1 200 OK\r\nProof: p\r\nAttempt: 77\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n"
+                    + lastChunk};
+        }
+        ++crashes;
+        ended.push_back(backend);
+        ScriptedResponse response;
+        response.endsBackend = true;
+        return response;
+    }
+
+    std::string send(const std::string &sharedParts)
+    {
+        auto answer = simulation.exchange(callerRequest("POST", "prompt", promptOf(sharedParts, ++requests)));
+        for (const int number : std::exchange(ended, {})) {
+            simulation.removeBackend(number);
+            addBackend();
+        }
+        return answer;
+    }
+
+    EntrySimulation simulation;
+    int backends = 0;
+    int requests = 0;
+    int crashes = 0;
+    /// Backend servers that have ended since the last request; each is replaced.
+    std::vector<int> ended;
+};
+
+} // namespace
+
+// Incident second1: requests with one part in their prompts ended one backend server after the other, new requests and
+// retries alike.
+TEST(CrashingRequests, backendsAreNotEndedOneAfterTheOther)
+{
+    CrashSimulation entry;
+    for (int number = 0; number < backendCount; ++number) {
+        entry.send("common:40,bad:100");
+    }
+    EXPECT_LE(entry.crashes, crashesUntilRecognised + requestsSentLater);
+}
+
+// The same fault with nothing else in common: whatever the other parts are, the crashing one ends the backend server.
+TEST(CrashingRequests, theOtherPartsOfThePromptDoNotMatter)
+{
+    CrashSimulation entry;
+    for (int number = 0; number < backendCount; ++number) {
+        entry.send("first" + std::to_string(number) + ":40,bad:100");
+    }
+    EXPECT_LE(entry.crashes, crashesUntilRecognised + requestsSentLater);
+}
+
+// The same fault hits requests that share the other parts of the prompts.
+TEST(CrashingRequests, soundRequestsWithTheSameFirstPartAreServed)
+{
+    CrashSimulation entry;
+    for (int number = 0; number < backendCount; ++number) {
+        entry.send("common:40,bad:100");
+        const auto answer = entry.send("common:40,sound:100");
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ") && answer.ends_with(lastChunk)) << answer;
+    }
+}
+
+// Such a request gets its answer at once, with a time to come back, and the answer is true.
+TEST(CrashingRequests, recognisedRequestIsRefusedAtOnce)
+{
+    CrashSimulation entry;
+    std::string answer;
+    for (int number = 0; number < backendCount / 2; ++number) {
+        answer = entry.send("common:40,bad:100");
+    }
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+    EXPECT_NE(answer.find("\"ran\":\"no\""), std::string::npos) << answer;
+    EXPECT_LT(entry.crashes, backendCount / 2);
+}
+
+} // namespace lycheelanding::forwarding
--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -27,6 +27,8 @@
     /// Sent after `delay` on the same connection, if not empty.
     std::string delayedBytes = {};
     std::chrono::milliseconds delay{};
+    /// The backend server ends: its connections are closed, and it accepts no more of them.
+    bool endsBackend = false;
 };
 
 /// A backend server that answers each request as the test's script says. Request bodies are short and arrive together
@@ -67,7 +69,9 @@
         m_acceptor.async_accept([this](const auto &error, asio::ip::tcp::socket socket) {
             if (!error) {
                 ++m_connections;
-                read(std::make_shared<Connection>(std::move(socket)));
+                const auto connection = std::make_shared<Connection>(std::move(socket));
+                m_openConnections.push_back(connection);
+                read(connection);
                 accept();
             }
         });
@@ -83,10 +87,25 @@
                                                    return;
                                                }
                                                requests.emplace_back(connection->buffer.data(), size);
-                                               respond(connection, m_script(requests.back()));
+                                               const auto response = m_script(requests.back());
+                                               if (response.endsBackend) {
+                                                   end();
+                                                   return;
+                                               }
+                                               respond(connection, response);
                                            });
     }
 
+    void end()
+    {
+        m_acceptor.close();
+        for (const auto &weak : m_openConnections) {
+            if (const auto connection = weak.lock()) {
+                connection->socket.close();
+            }
+        }
+    }
+
     void respond(const std::shared_ptr<Connection> &connection, const ScriptedResponse &response)
     {
         connection->output = response.bytes;
@@ -119,6 +138,7 @@
     asio::ip::tcp::acceptor m_acceptor;
     const Script m_script;
     std::size_t m_connections = 0;
+    std::vector<std::weak_ptr<Connection>> m_openConnections;
 };
 
 /// An entry with fake backend servers and callers, all on one thread.
@@ -163,6 +183,13 @@
         return *m_backends.back();
     }
 
+    /// The registration of the backend server is removed. `number`: in the order of addBackend(), from 1.
+    void removeBackend(int number)
+    {
+        m_entry.applyBackendChanges({decisions::membership::BackendUnusable{
+            BackendId("backend-" + std::to_string(number)), decisions::membership::DirectoryReason::Removed}});
+    }
+
     /// From now on status updates of the backend server arrive all the time, with this load.
     void setLoad(const BackendId &id, const BackendLoad &load) { m_loads[id] = load; }
 
