Requests whose prompts crash backend servers are recognised and held by all entries

Cause: a lost attempt counts as a fault of the backend server alone; nothing asks whether requests have in common what backend servers crash under. Each new request and each retry went on to the next sound backend server. Ruled out: too many attempts of one request (two at most, which the route allows). Fix: PromptQuarantine (no network) counts the crashes in a row under each shared part; progress of any request clears its parts. Requests are held only with the companions of a part that are not cleared, so that sound requests with the same first part go on. CrashDetector tells a crash (new connections are refused) from a broken-off answer. Entries exchange reports over the sides, which relay them; nothing is written to the store. Held requests get 503 promptHeld at once.

--- a/packages/core/include/lycheelanding/core/errorkind.h
+++ b/packages/core/include/lycheelanding/core/errorkind.h
@@ -37,6 +37,8 @@
     PeerUnreachable,
     Cancelled,
     Internal,
+    // Numbers are sent between processes of different builds, so new kinds are added at the end.
+    PromptHeld,
 };
 
 /// Whether the request reached its backend server, as answers report it to the caller.
--- a/packages/core/src/errorkind.cpp
+++ b/packages/core/src/errorkind.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<ErrorAnswer, 28> answers{{
+constexpr std::array<ErrorAnswer, 29> answers{{
     {ErrorKind::MalformedRequest, "malformedRequest", 400, Ran::No, false, "The request is malformed"},
     {ErrorKind::RequestTooLarge, "requestTooLarge", 413, Ran::No, false, "The request body is too large"},
     {ErrorKind::HeaderTooLarge, "headerTooLarge", 431, Ran::No, false, "The request headers are too large"},
@@ -37,6 +37,7 @@
     {ErrorKind::PeerUnreachable, "peerUnreachable", 503, Ran::No, true, "The peer cannot be reached"},
     {ErrorKind::Cancelled, "cancelled", 499, Ran::Unknown, false, "The caller cancelled the request"},
     {ErrorKind::Internal, "internal", 500, Ran::Unknown, false, "An internal error occurred"},
+    {ErrorKind::PromptHeld, "promptHeld", 503, Ran::No, true, "Prompts with such a part crash backend servers"},
 }};
 
 constexpr std::array<NameEntry<Ran>, 3> ranNames{{
@@ -56,7 +57,7 @@
 }
 
 static_assert(isInKindOrder(), "answerOf() indexes the table by kind");
-static_assert(answers.size() == static_cast<std::size_t>(ErrorKind::Internal) + 1, "an error kind has no row");
+static_assert(answers.size() == static_cast<std::size_t>(ErrorKind::PromptHeld) + 1, "an error kind has no row");
 
 } // namespace
 
@@ -69,7 +70,7 @@
 {
     // Kinds are also received in messages of peers, so the number may be out of range.
     const auto index = static_cast<std::size_t>(kind);
-    return index < answers.size() ? answers[index] : answers.back();
+    return index < answers.size() ? answers[index] : answers[static_cast<std::size_t>(ErrorKind::Internal)];
 }
 
 std::string_view nameOf(ErrorKind kind)
--- /dev/null
+++ b/packages/decisions/tests/quarantine/crashingpromptstest.cpp
@@ -0,0 +1,206 @@
+#include "lycheelanding/decisions/quarantine/promptquarantine.h"
+
+#include "lycheelanding/core/random.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+#include <tuple>
+#include <vector>
+
+namespace lycheelanding::decisions::quarantine {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::TimePoint start(1h);
+/// From the arrival of a request at a backend server to its first token.
+constexpr core::Duration timeToFirstToken = 200ms;
+constexpr core::Duration reportDelay = 5ms;
+constexpr core::Duration retryDelay = 20ms;
+constexpr core::Duration playTime = 120s;
+/// The users' bounds.
+constexpr core::Duration stableWindow = 3s;
+constexpr std::size_t crashesUntilRecognised = 5;
+constexpr std::size_t requestsSentLater = 3;
+
+struct FleetOptions
+{
+    std::size_t entries = 4;
+    core::Duration badInterval = 500ms;
+    core::Duration soundInterval = 200ms;
+    /// Sound first parts that requests of both kinds use in turn.
+    int firstParts = 1;
+    int lostReportPercent = 0;
+    std::uint64_t seed = 1;
+};
+
+/// Entries that exchange reports, in virtual time. Requests with the bad part crash the backend server that begins to
+/// answer them; each is retried once, like every other lost request.
+class Fleet
+{
+public:
+    explicit Fleet(const FleetOptions &options) : m_options(options), m_random(options.seed)
+    {
+        for (std::size_t entry = 0; entry < options.entries; ++entry) {
+            m_entries.emplace_back(QuarantineSettings(), options.seed * 1000 + entry);
+        }
+        for (core::Duration at{}; at < playTime; at += options.badInterval) {
+            schedule(start + at, [this] { send(randomEntry(), {firstPart(), PromptPart("bad")}, 2); });
+        }
+        for (core::Duration at{}; at < playTime; at += options.soundInterval) {
+            schedule(start + at, [this] { send(randomEntry(), {firstPart(), PromptPart("sound")}, 2); });
+        }
+    }
+
+    void play()
+    {
+        while (!m_events.empty()) {
+            const auto event = m_events.top();
+            m_events.pop();
+            m_now = event.time;
+            event.action();
+        }
+    }
+
+    std::size_t badSentLater() const
+    {
+        if (m_crashTimes.size() < crashesUntilRecognised) {
+            return 0;
+        }
+        const auto since = m_crashTimes[crashesUntilRecognised - 1] + stableWindow;
+        return static_cast<std::size_t>(
+            std::count_if(m_badSent.begin(), m_badSent.end(), [since](auto time) { return time > since; }));
+    }
+
+    std::size_t crashes() const { return m_crashTimes.size(); }
+    std::size_t soundSent() const { return m_soundSent; }
+    std::size_t soundHeld() const { return m_soundHeld; }
+
+private:
+    struct Event
+    {
+        core::TimePoint time;
+        std::size_t number;
+        std::function<void()> action;
+        bool operator<(const Event &other) const { return std::tie(other.time, other.number) < std::tie(time, number); }
+    };
+
+    void schedule(core::TimePoint time, std::function<void()> action)
+    {
+        m_events.push({time, m_events.size() + ++m_eventCount, std::move(action)});
+    }
+
+    std::size_t randomEntry() { return m_random.nextBelow(m_entries.size()); }
+    PromptPart firstPart()
+    {
+        return PromptPart("first"
+                          + std::to_string(m_random.nextBelow(static_cast<std::uint64_t>(m_options.firstParts))));
+    }
+
+    void send(std::size_t entry, const PromptParts &parts, int attemptsLeft)
+    {
+        const bool isBad = parts.back() == PromptPart("bad");
+        if (m_entries[entry].holdTime(parts, m_now)) {
+            m_soundHeld += isBad ? 0 : 1;
+            return;
+        }
+        m_entries[entry].sent(parts, m_now);
+        if (!isBad) {
+            ++m_soundSent;
+            schedule(m_now + timeToFirstToken, [this, entry, parts] { progress(entry, parts); });
+            return;
+        }
+        m_badSent.push_back(m_now);
+        schedule(m_now + timeToFirstToken, [this, entry, parts, attemptsLeft] { crash(entry, parts, attemptsLeft); });
+    }
+
+    void progress(std::size_t entry, const PromptParts &parts)
+    {
+        const ProgressReport report{parts, m_now};
+        if (m_entries[entry].progressed(report)) {
+            share(entry, [report](auto &other) { other.progressed(report); });
+        }
+    }
+
+    void crash(std::size_t entry, const PromptParts &parts, int attemptsLeft)
+    {
+        const CrashReport report{"b" + std::to_string(m_crashTimes.size()), parts, m_now};
+        m_crashTimes.push_back(m_now);
+        m_entries[entry].crashed(report);
+        share(entry, [report](auto &other) { other.crashed(report); });
+        if (attemptsLeft > 1) {
+            schedule(m_now + retryDelay, [this, entry, parts, attemptsLeft] { send(entry, parts, attemptsLeft - 1); });
+        }
+    }
+
+    template <typename Report>
+    void share(std::size_t from, Report report)
+    {
+        for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+            const bool isLost = m_random.nextBelow(100) < static_cast<std::uint64_t>(m_options.lostReportPercent);
+            if (entry != from && !isLost) {
+                schedule(m_now + reportDelay, [this, entry, report] { report(m_entries[entry]); });
+            }
+        }
+    }
+
+    const FleetOptions m_options;
+    core::RandomSequence m_random;
+    std::vector<PromptQuarantine> m_entries;
+    std::priority_queue<Event> m_events;
+    std::size_t m_eventCount = 0;
+    core::TimePoint m_now;
+    std::vector<core::TimePoint> m_crashTimes;
+    std::vector<core::TimePoint> m_badSent;
+    std::size_t m_soundSent = 0;
+    std::size_t m_soundHeld = 0;
+};
+
+} // namespace
+
+// Incident second1: each entry saw few of the crashes, and together they ended 16 backend servers.
+TEST(CrashingPrompts, fleetStopsSendingThemWithinTheBound)
+{
+    for (const std::size_t entries : {1U, 4U, 14U, 60U}) {
+        FleetOptions options;
+        options.entries = entries;
+        Fleet fleet(options);
+        fleet.play();
+        EXPECT_LE(fleet.badSentLater(), requestsSentLater) << entries << " entries";
+    }
+}
+
+// Held for good would be wrong for sound requests with the same first part, at whose expense the bad ones are held.
+TEST(CrashingPrompts, soundRequestsWithTheSameFirstPartAreSent)
+{
+    for (const int firstParts : {1, 60}) {
+        FleetOptions options;
+        options.firstParts = firstParts;
+        Fleet fleet(options);
+        fleet.play();
+        EXPECT_LE(fleet.badSentLater(), requestsSentLater);
+        EXPECT_LE(fleet.soundHeld(), fleet.soundSent() / 20);
+    }
+}
+
+RC_GTEST_PROP(CrashingPromptsFuzz, boundHoldsForAnyFleetWhileReportsAreLost, ())
+{
+    FleetOptions options;
+    options.entries = *rc::gen::inRange<std::size_t>(1, 40);
+    options.badInterval = std::chrono::milliseconds(*rc::gen::inRange(50, 5000));
+    options.soundInterval = std::chrono::milliseconds(*rc::gen::inRange(50, 5000));
+    options.firstParts = *rc::gen::inRange(1, 60);
+    options.lostReportPercent = *rc::gen::inRange(0, 20);
+    options.seed = *rc::gen::inRange<std::uint64_t>(1, 1000000);
+    Fleet fleet(options);
+    fleet.play();
+    RC_ASSERT(fleet.badSentLater() <= requestsSentLater);
+    RC_ASSERT(fleet.soundHeld() <= fleet.soundSent() / 2);
+}
+
+} // namespace lycheelanding::decisions::quarantine
--- /dev/null
+++ b/packages/decisions/tests/quarantine/promptquarantinetest.cpp
@@ -0,0 +1,158 @@
+#include "lycheelanding/decisions/quarantine/promptquarantine.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace lycheelanding::decisions::quarantine {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::TimePoint start(1h);
+const PromptPart common("common");
+const PromptPart bad("bad");
+const PromptPart other("other");
+
+CrashReport crash(const std::string &backend, PromptParts parts, core::TimePoint time)
+{
+    return {backend, std::move(parts), time};
+}
+
+bool isHeld(const PromptQuarantine &quarantine, const PromptParts &parts, core::TimePoint now)
+{
+    return quarantine.holdTime(parts, now).has_value();
+}
+
+PromptQuarantine crashedTwice()
+{
+    PromptQuarantine quarantine(QuarantineSettings(), 7);
+    EXPECT_FALSE(quarantine.crashed(crash("b1", {common, bad}, start)));
+    EXPECT_TRUE(quarantine.crashed(crash("b2", {common, bad}, start + 300ms)));
+    return quarantine;
+}
+
+} // namespace
+
+TEST(PromptQuarantine, secondCrashUnderTheSamePartsHoldsThem)
+{
+    const auto quarantine = crashedTwice();
+    EXPECT_TRUE(isHeld(quarantine, {common, bad}, start + 300ms));
+    EXPECT_FALSE(isHeld(quarantine, {common, other}, start + 300ms));
+    EXPECT_FALSE(isHeld(quarantine, {other}, start + 300ms));
+}
+
+TEST(PromptQuarantine, oneBackendServerThatEndsUnderManyRequestsIsOneCrash)
+{
+    PromptQuarantine quarantine(QuarantineSettings(), 7);
+    for (const auto *part : {"a", "b", "c"}) {
+        quarantine.crashed(crash("b1", {common, PromptPart(part)}, start));
+    }
+    quarantine.crashed(crash("b1", {common, bad}, start + 5ms));
+    EXPECT_FALSE(isHeld(quarantine, {common, bad}, start + 10ms));
+}
+
+TEST(PromptQuarantine, partThatCrashesWithOtherCompanionsIsHeldWithoutThem)
+{
+    auto quarantine = crashedTwice();
+    EXPECT_FALSE(isHeld(quarantine, {other, bad}, start + 400ms));
+    quarantine.crashed(crash("b3", {other, bad}, start + 500ms));
+    EXPECT_TRUE(isHeld(quarantine, {bad}, start + 500ms));
+    EXPECT_TRUE(isHeld(quarantine, {PromptPart("third"), bad}, start + 500ms));
+}
+
+TEST(PromptQuarantine, progressOfASoundRequestClearsTheCommonPart)
+{
+    auto quarantine = crashedTwice();
+    EXPECT_TRUE(quarantine.progressed({{common, other}, start + 400ms}));
+    EXPECT_FALSE(isHeld(quarantine, {common}, start + 400ms));
+    // The common part no longer explains the crashes, so that the other one is held alone.
+    EXPECT_TRUE(isHeld(quarantine, {bad}, start + 400ms));
+}
+
+TEST(PromptQuarantine, reportOfACrashBeforeTheProgressChangesNothing)
+{
+    auto quarantine = crashedTwice();
+    quarantine.progressed({{common, bad}, start + 1s});
+    EXPECT_FALSE(isHeld(quarantine, {common, bad}, start + 1s));
+    EXPECT_FALSE(quarantine.crashed(crash("b2", {common, bad}, start + 300ms)));
+    EXPECT_FALSE(quarantine.crashed(crash("b3", {common, bad}, start + 600ms)));
+    EXPECT_TRUE(quarantine.isEmpty());
+}
+
+// A sound part that was held by chance is used again after one request of each entry has shown it.
+TEST(PromptQuarantine, oneProbeAtATimeDecidesWhetherAPartIsHeldOn)
+{
+    const QuarantineSettings settings;
+    auto quarantine = crashedTwice();
+    const auto probeTime = start + 300ms + 2 * settings.firstHold;
+    ASSERT_FALSE(isHeld(quarantine, {common, bad}, probeTime));
+    quarantine.sent({common, bad}, probeTime);
+    EXPECT_TRUE(isHeld(quarantine, {common, bad}, probeTime + 1ms));
+
+    auto failed = quarantine;
+    failed.crashed(crash("b3", {common, bad}, probeTime + 200ms));
+    EXPECT_TRUE(isHeld(failed, {common, bad}, probeTime + settings.confirmedHold));
+
+    quarantine.progressed({{common, bad}, probeTime + 200ms});
+    EXPECT_FALSE(isHeld(quarantine, {common, bad}, probeTime + 201ms));
+}
+
+TEST(PromptQuarantine, reportsOfHeldPartsMakeAnotherEntryHoldThem)
+{
+    const auto quarantine = crashedTwice();
+    PromptQuarantine another(QuarantineSettings(), 8);
+    for (const auto &report : quarantine.heldReports(start + 1s)) {
+        another.crashed(report);
+    }
+    EXPECT_TRUE(isHeld(another, {common, bad}, start + 1s));
+    EXPECT_FALSE(isHeld(another, {common, other}, start + 1s));
+}
+
+TEST(PromptQuarantine, memoryIsBoundedAndOldSuspicionsAreForgotten)
+{
+    const QuarantineSettings settings;
+    PromptQuarantine quarantine(settings, 7);
+    for (std::size_t number = 0; number < 2 * settings.maxSuspects; ++number) {
+        quarantine.crashed(crash("b" + std::to_string(number), {PromptPart("p" + std::to_string(number))}, start));
+    }
+    EXPECT_FALSE(quarantine.isEmpty());
+    quarantine.tick(start + settings.suspicionTime + 1ms);
+    EXPECT_TRUE(quarantine.isEmpty());
+}
+
+/// Reports reach entries in different orders and several times; what they hold is the same.
+RC_GTEST_PROP(PromptQuarantineFuzz, orderAndRepetitionOfCrashReportsDoNotMatter, ())
+{
+    const auto randomPart
+        = rc::gen::map(rc::gen::inRange(0, 4), [](int number) { return PromptPart("p" + std::to_string(number)); });
+    const int count = *rc::gen::inRange(1, 8);
+    std::vector<CrashReport> reports;
+    for (int number = 0; number < count; ++number) {
+        auto parts = *rc::gen::container<PromptParts>(2, randomPart);
+        reports.push_back(crash("b" + std::to_string(*rc::gen::inRange(0, 5)), std::move(parts), start));
+    }
+    auto shuffled = reports;
+    shuffled.insert(shuffled.end(), reports.begin(), reports.end());
+    for (std::size_t index = shuffled.size(); index > 1; --index) {
+        std::swap(shuffled[index - 1], shuffled[*rc::gen::inRange<std::size_t>(0, index)]);
+    }
+    PromptQuarantine left(QuarantineSettings(), 7);
+    PromptQuarantine right(QuarantineSettings(), 7);
+    for (const auto &report : reports) {
+        left.crashed(report);
+    }
+    for (const auto &report : shuffled) {
+        right.crashed(report);
+    }
+    for (int first = 0; first < 4; ++first) {
+        for (int second = first; second < 4; ++second) {
+            const PromptParts parts{PromptPart("p" + std::to_string(first)), PromptPart("p" + std::to_string(second))};
+            RC_ASSERT(left.holdTime(parts, start) == right.holdTime(parts, start));
+        }
+    }
+}
+
+} // namespace lycheelanding::decisions::quarantine
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -54,12 +54,15 @@
     const BackendSet &backends() const { return m_backends; }
     const RouteTablePointer &routes() const { return m_routes; }
     report::Metrics &metrics() { return m_metrics; }
+    PromptGuard &prompts() { return m_prompts; }
 
 private:
     void handleRequest(const http::HttpExchangePointer &exchange);
     void forward(const http::HttpExchangePointer &exchange);
     void forwardEarlyRequests();
     void handleReadiness(const http::HttpExchangePointer &exchange);
+    std::vector<std::shared_ptr<ForwardedExchange>> resumableStreams() const;
+    void cancelHeldAttempts();
     void execute(const decisions::membership::EntryDrainActions &actions);
     void tickDrain();
 
@@ -74,6 +77,7 @@
     WaitingRequests<ForwardedExchange> m_waiting;
     AttemptId m_lastAttempt;
     std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> m_resumableStreams;
+    PromptGuard m_prompts;
     RouteTablePointer m_routes;
     bool m_hasBackendList = false;
     /// Requests that arrived before the configuration and the backend servers were known.
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -7,6 +7,7 @@
 #include "lycheelanding/forwarding/calleranswer.h"
 #include "lycheelanding/forwarding/eventlog.h"
 #include "lycheelanding/forwarding/forwardedfields.h"
+#include "lycheelanding/forwarding/promptguard.h"
 #include "lycheelanding/forwarding/requestlog.h"
 #include "lycheelanding/forwarding/retrybudgets.h"
 #include "lycheelanding/forwarding/routetable.h"
@@ -43,6 +44,7 @@
     WaitingRequests<ForwardedExchange> &waiting;
     /// Id of the last attempt of the process; each attempt increments it.
     AttemptId &lastAttempt;
+    PromptGuard &prompts;
     /// Requests with a stream that another backend server can resume.
     std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> &resumableStreams;
 };
@@ -64,7 +66,8 @@
     core::TimePoint startedAt;
     AnswerClass answerClass = AnswerClass::Valid;
     http::AnswerHead head;
-    bool hasEvent = false;
+    /// Parts of the body that have arrived.
+    std::size_t bodyParts = 0;
 };
 
 /// One request of a caller, from its arrival to its answer. RequestAttempts decides what may be sent again and what an
@@ -83,6 +86,8 @@
     /// Replaces the current attempt if its backend server has been inactive for too long and another one can resume the
     /// stream now. Otherwise the attempt goes on: the backend server may only be slow.
     void replaceInactiveAttempt();
+    /// Ends the current attempt if its prompt is held now and its answer has not begun.
+    void cancelHeldAttempt();
     bool isFinished() const { return m_isFinished; }
     core::TimePoint waitDeadline() const { return m_limits.waitDeadline; }
     const core::ServiceId &service() const { return m_service; }
@@ -96,6 +101,10 @@
     core::Result<const Route *> findRoute();
     void startTimer();
     void startAttempt();
+    /// Gives up the request if its prompt is held; returns whether it was.
+    bool giveUpHeldPrompt();
+    std::optional<core::Error> heldPromptError() const;
+    void reportCrashSuspicion();
     std::optional<ReservedBackend> reserveReplacement(const core::Error &error, core::Duration inactivity);
     std::optional<RetryDenial> retryDenial() const;
     decisions::retry::FailedAttempt failedAttempt(const core::Error &error, core::Ran ran) const;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedfields.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedfields.h
@@ -39,6 +39,9 @@
 };
 TokenCounts tokenCountsOf(const http::HttpHeaders &headers, const FieldNames &names);
 
+/// The ids, separated by spaces.
+std::string joinedText(const decisions::quarantine::PromptParts &parts);
+
 /// The parts of the prompt that other requests may share, that is all but the last; empty without the field. Parts
 /// beyond a limit and those with an empty or overlong id are left out.
 decisions::quarantine::PromptParts sharedPromptPartsOf(const http::HttpHeaders &headers, const FieldNames &names);
--- /dev/null
+++ b/packages/forwarding/include/lycheelanding/forwarding/promptguard.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "lycheelanding/core/clock.h"
+#include "lycheelanding/decisions/quarantine/promptquarantine.h"
+#include "lycheelanding/forwarding/crashdetector.h"
+#include "lycheelanding/forwarding/eventlog.h"
+#include "lycheelanding/report/metrics.h"
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace lycheelanding::forwarding {
+
+/// Called with what this entry has found out, to pass it on to the other entries.
+struct PromptReportHandlers
+{
+    std::function<void(const decisions::quarantine::CrashReport &)> onCrash;
+    std::function<void(const decisions::quarantine::ProgressReport &)> onProgress;
+};
+
+/// Holds requests whose prompts crash backend servers: feeds the quarantine with lost attempts and progress of this
+/// entry and with the reports of others. Used on one thread.
+class PromptGuard
+{
+public:
+    /// `onHeld` is called when more requests are held than before.
+    PromptGuard(asio::io_context &context, std::uint64_t seed, EventLog &log, report::Metrics &metrics,
+                std::function<void()> onHeld);
+
+    void setReportHandlers(PromptReportHandlers handlers) { m_handlers = std::move(handlers); }
+
+    /// How long a request is held; nullopt if it may be sent now.
+    std::optional<core::Duration> holdTime(const decisions::quarantine::PromptParts &parts) const;
+    void requestSent(const decisions::quarantine::PromptParts &parts);
+    void answerProgressed(const decisions::quarantine::PromptParts &parts);
+    void attemptLost(const LostAttempt &attempt);
+
+    /// Applies a report of another entry.
+    void apply(const decisions::quarantine::CrashReport &report);
+    void apply(const decisions::quarantine::ProgressReport &report);
+    /// What other entries need to hold the same requests.
+    std::vector<decisions::quarantine::CrashReport> heldReports() const;
+    /// To be called about once a second.
+    void tick() { m_quarantine.tick(m_clock.now()); }
+
+private:
+    core::SystemClock m_clock;
+    EventLog &m_log;
+    report::Metrics &m_metrics;
+    const std::function<void()> m_onHeld;
+    PromptReportHandlers m_handlers;
+    decisions::quarantine::PromptQuarantine m_quarantine;
+    CrashDetector m_crashes;
+};
+
+} // namespace lycheelanding::forwarding
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -38,6 +38,7 @@
     : m_context(context), m_settings(std::move(settings)), m_log(log),
       m_backends(m_settings.dataCentre, core::stableHash(m_settings.processName)),
       m_retries(m_settings.retryBudget, core::stableHash(m_settings.processName)), m_pool(idleConnectionTimeout),
+      m_prompts(context, core::stableHash(m_settings.processName), m_log, m_metrics, [this] { cancelHeldAttempts(); }),
       m_earlyTimer(context), m_drain(m_settings.drain), m_drainTimer(context),
       m_callerServer(context, serverSettings(m_settings.callerEndpoint, m_settings.maxConnections),
                      [this](const auto &exchange) { handleRequest(exchange); }),
@@ -166,8 +167,9 @@
 
 void EntryServer::forward(const http::HttpExchangePointer &exchange)
 {
-    const ForwardingResources resources{m_context, m_settings.names, m_backends, m_retries,     m_pool,
-                                        m_log,     m_metrics,        m_waiting,  m_lastAttempt, m_resumableStreams};
+    const ForwardingResources resources{
+        m_context, m_settings.names, m_backends, m_retries,         m_pool, m_log, m_metrics,
+        m_waiting, m_lastAttempt,    m_prompts,  m_resumableStreams};
     const auto onFinished = [this] {
         execute(m_drain.requestFinished(m_clock.now()));
         sendWaitingRequests();
@@ -175,20 +177,32 @@
     std::make_shared<ForwardedExchange>(resources, m_routes, exchange, onFinished)->start();
 }
 
-void EntryServer::replaceInactiveAttempts()
+std::vector<std::shared_ptr<ForwardedExchange>> EntryServer::resumableStreams() const
 {
-    // Resuming a stream may finish requests, which removes them from m_resumableStreams.
-    std::vector<std::shared_ptr<ForwardedExchange>> resumableStreams;
+    std::vector<std::shared_ptr<ForwardedExchange>> streams;
     for (const auto &[key, weak] : m_resumableStreams) {
         if (auto stream = weak.lock()) {
-            resumableStreams.push_back(std::move(stream));
+            streams.push_back(std::move(stream));
         }
     }
-    for (const auto &stream : resumableStreams) {
+    return streams;
+}
+
+void EntryServer::replaceInactiveAttempts()
+{
+    // Resuming a stream may finish requests, which removes them from m_resumableStreams.
+    for (const auto &stream : resumableStreams()) {
         stream->replaceInactiveAttempt();
     }
 }
 
+void EntryServer::cancelHeldAttempts()
+{
+    for (const auto &stream : resumableStreams()) {
+        stream->cancelHeldAttempt();
+    }
+}
+
 void EntryServer::stop(std::function<void()> onStopped)
 {
     m_onStopped = std::move(onStopped);
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -21,14 +21,8 @@
 /// Opening a connection may take the remaining time divided by this, so that another backend server can still be tried.
 constexpr int connectTimeoutDivisor = 3;
 
-std::string joinedText(const decisions::quarantine::PromptParts &parts)
-{
-    std::string text;
-    for (const auto &part : parts) {
-        text.append(text.empty() ? "" : " ").append(part.text());
-    }
-    return text;
-}
+/// A backend server that crashes under a prompt may still send the first part of an answer to it.
+constexpr std::size_t minPartsOfProgress = 2;
 
 core::Error backendLostError(const core::Error &error)
 {
@@ -128,8 +122,30 @@
     return request;
 }
 
+std::optional<core::Error> ForwardedExchange::heldPromptError() const
+{
+    const auto holdTime = m_resources.prompts.holdTime(m_promptParts);
+    if (!holdTime) {
+        return std::nullopt;
+    }
+    return core::Error{core::ErrorKind::PromptHeld, "backend servers crashed under prompts with the same part",
+                       std::chrono::duration_cast<std::chrono::milliseconds>(*holdTime)};
+}
+
+bool ForwardedExchange::giveUpHeldPrompt()
+{
+    const auto error = heldPromptError();
+    if (error) {
+        execute(m_attempts->giveUp(*error));
+    }
+    return error.has_value();
+}
+
 void ForwardedExchange::startAttempt()
 {
+    if (giveUpHeldPrompt()) {
+        return;
+    }
     if (m_resources.waiting.hasWaiting(m_service, m_priority, now()) || !trySend()) {
         m_resources.waiting.add(shared_from_this());
     }
@@ -147,6 +163,9 @@
 
 bool ForwardedExchange::trySend()
 {
+    if (giveUpHeldPrompt()) {
+        return true;
+    }
     const auto reserved = reserveBackend(backendRequirements());
     if (reserved) {
         beginAttempt(*reserved);
@@ -173,6 +192,7 @@
     m_log.recordSent(m_attempt->startedAt);
     m_answer.restart();
     m_tried.push_back(m_attempt->backend.id);
+    m_resources.prompts.requestSent(m_promptParts);
     m_attempt->connection = m_resources.pool.acquire(m_attempt->backend.endpoint);
     if (m_attempt->connection) {
         execute(m_attempts->readyToSend(m_attempt->number));
@@ -271,8 +291,11 @@
 {
     const auto time = now();
     const auto interval = m_times.recordArrival(time);
-    if (!m_attempt->hasEvent) {
-        m_attempt->hasEvent = true;
+    ++m_attempt->bodyParts;
+    if (m_attempt->bodyParts == minPartsOfProgress) {
+        m_resources.prompts.answerProgressed(m_promptParts);
+    }
+    if (m_attempt->bodyParts == 1) {
         m_resources.backends.recordFirstEvent(m_attempt->id, m_tokens.prompt, time);
     } else if (interval && m_route->kind == RouteKind::Stream) {
         m_resources.backends.recordNextEvent(m_attempt->id, *interval, time);
@@ -316,6 +339,7 @@
 void ForwardedExchange::finishAnswer()
 {
     const int status = m_attempt->head.status;
+    m_resources.prompts.answerProgressed(m_promptParts);
     m_answer.finish(m_attempt->head);
     const auto attempt = m_attempt->number;
     endAttempt(Outcome::Answered);
@@ -330,10 +354,34 @@
     if (!isCurrent(attempt)) {
         return;
     }
+    reportCrashSuspicion();
     endAttempt(Outcome::Failed);
     execute(m_attempts->lost(attempt, backendLostError(error), now()));
 }
 
+void ForwardedExchange::reportCrashSuspicion()
+{
+    const auto backend = m_resources.backends.find(m_attempt->backend.id);
+    if (!backend || m_attempt->bodyParts >= minPartsOfProgress) {
+        return;
+    }
+    // A backend server may start again under its id.
+    const auto incarnation = backend->id.text() + "@" + std::to_string(backend->startedAtMs);
+    m_resources.prompts.attemptLost({incarnation, m_attempt->backend.endpoint, m_promptParts});
+}
+
+void ForwardedExchange::cancelHeldAttempt()
+{
+    if (!m_attempt || m_attempt->bodyParts > 0) {
+        return;
+    }
+    if (const auto error = heldPromptError()) {
+        const auto attempt = m_attempt->number;
+        endAttempt(Outcome::Cancelled);
+        execute(m_attempts->lost(attempt, *error, now()));
+    }
+}
+
 std::optional<ReservedBackend> ForwardedExchange::reserveReplacement(const core::Error &error,
                                                                      core::Duration inactivity)
 {
@@ -402,6 +450,9 @@
     if (m_tried.size() >= m_route->maxAttempts) {
         return RetryDenial::AttemptsUsed;
     }
+    if (heldPromptError()) {
+        return RetryDenial::PromptHeld;
+    }
     const bool canResume = !m_answer.hasBegun() || m_answer.lastEvent();
     return canResume ? std::nullopt : std::optional(RetryDenial::NotResumable);
 }
--- a/packages/forwarding/src/forwardedfields.cpp
+++ b/packages/forwarding/src/forwardedfields.cpp
@@ -82,6 +82,15 @@
     return counts;
 }
 
+std::string joinedText(const decisions::quarantine::PromptParts &parts)
+{
+    std::string text;
+    for (const auto &part : parts) {
+        text.append(text.empty() ? "" : " ").append(part.text());
+    }
+    return text;
+}
+
 decisions::quarantine::PromptParts sharedPromptPartsOf(const http::HttpHeaders &headers, const FieldNames &names)
 {
     decisions::quarantine::PromptParts parts;
--- a/packages/forwarding/src/requestlog.cpp
+++ b/packages/forwarding/src/requestlog.cpp
@@ -15,8 +15,9 @@
     {TimeLimitSource::Caller, "caller"},
 }};
 
-constexpr std::array<core::NameEntry<RetryDenial>, 3> retryDenialNames{{
+constexpr std::array<core::NameEntry<RetryDenial>, 4> retryDenialNames{{
     {RetryDenial::AttemptsUsed, "attemptsUsed"},
+    {RetryDenial::PromptHeld, "promptHeld"},
     {RetryDenial::NotResumable, "notResumable"},
     {RetryDenial::Policy, "policy"},
 }};
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lycheelanding/decisions/quarantine/promptparts.h"
 #include "lycheelanding/rankgroups/countscollector.h"
 #include "lycheelanding/rankgroups/rankreport.h"
 
@@ -48,8 +49,26 @@
     decisions::mapswitch::CommandAnswer answer = decisions::mapswitch::CommandAnswer::None;
 };
 
+/// From an entry to some sides, which relay it to the other entries: a backend server crashed while it held a request
+/// with these parts in its prompt.
+struct CrashNotice
+{
+    /// One incarnation of a backend server.
+    std::string backend;
+    decisions::quarantine::PromptParts parts;
+    std::uint32_t ageMs = 0;
+};
+
+/// The same way: a request with these parts in its prompt has been answered in part without a crash.
+struct ProgressNotice
+{
+    decisions::quarantine::PromptParts parts;
+    std::uint32_t ageMs = 0;
+};
+
 /// CountsReport: from a side to its collector, and from a collector to the group's leader.
-using Datagram = std::variant<Subscription, RankStatus, CommandOrder, CommandReply, CountsReport>;
+using Datagram
+    = std::variant<Subscription, RankStatus, CommandOrder, CommandReply, CountsReport, CrashNotice, ProgressNotice>;
 
 /// Guards against foreign bytes: larger datagrams are rejected before decoding, and a text or list in one that claims
 /// to be longer is not allocated.
--- a/packages/rankgroups/include/lycheelanding/rankgroups/statussubscribers.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/statussubscribers.h
@@ -34,6 +34,8 @@
     void subscribed(const asio::ip::udp::endpoint &subscriber, SubscriberKind kind, core::TimePoint now);
     /// Whether the leader of the side's group subscribes.
     bool hasLeader() const;
+    /// The subscribed entries but for `excluded`.
+    std::vector<asio::ip::udp::endpoint> entriesExcept(const asio::ip::udp::endpoint &excluded) const;
     /// The status updates to send now, in this order. Ends subscriptions that have expired. `latest` has the report and
     /// the experts that the rank holds in the report's map.
     std::vector<AddressedStatus> due(const RankStatus &latest, core::TimePoint now);
--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -11,6 +11,7 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <algorithm>
 #include <exception>
 #include <sstream>
 #include <utility>
@@ -42,7 +43,9 @@
 namespace {
 
 /// Must be increased with each change of the message layout; messages of other versions are dropped.
-constexpr std::uint16_t protocolVersion = 4;
+constexpr std::uint16_t protocolVersion = 5;
+/// Guards against foreign bytes.
+constexpr std::size_t maxPromptParts = 32;
 
 /// Appends the bytes with their length in front.
 template <typename Archive>
@@ -196,6 +199,60 @@
     archive(reply.number, reply.fencingToken, reply.answer);
 }
 
+template <typename Archive>
+void savePromptParts(Archive &archive, const decisions::quarantine::PromptParts &parts)
+{
+    archive(static_cast<std::uint8_t>(std::min(parts.size(), maxPromptParts)));
+    for (std::size_t index = 0; index < std::min(parts.size(), maxPromptParts); ++index) {
+        saveBytes(archive, parts[index].text());
+    }
+}
+
+template <typename Archive>
+decisions::quarantine::PromptParts loadPromptParts(Archive &archive)
+{
+    std::uint8_t count = 0;
+    archive(count);
+    if (count > maxPromptParts) {
+        throw cereal::Exception("too many parts of a prompt");
+    }
+    decisions::quarantine::PromptParts parts;
+    for (std::uint8_t index = 0; index < count; ++index) {
+        parts.emplace_back(loadBytes(archive));
+    }
+    return parts;
+}
+
+template <typename Archive>
+void save(Archive &archive, const CrashNotice &notice)
+{
+    saveBytes(archive, notice.backend);
+    savePromptParts(archive, notice.parts);
+    archive(notice.ageMs);
+}
+
+template <typename Archive>
+void load(Archive &archive, CrashNotice &notice)
+{
+    notice.backend = loadBytes(archive);
+    notice.parts = loadPromptParts(archive);
+    archive(notice.ageMs);
+}
+
+template <typename Archive>
+void save(Archive &archive, const ProgressNotice &notice)
+{
+    savePromptParts(archive, notice.parts);
+    archive(notice.ageMs);
+}
+
+template <typename Archive>
+void load(Archive &archive, ProgressNotice &notice)
+{
+    notice.parts = loadPromptParts(archive);
+    archive(notice.ageMs);
+}
+
 std::string encodeDatagram(const Datagram &datagram)
 {
     std::ostringstream stream;
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -213,6 +213,10 @@
         executeOrder(sender, *order);
     } else if (const auto *reply = std::get_if<CommandReply>(&datagram)) {
         onReply(ip, *reply);
+    } else if (std::holds_alternative<CrashNotice>(datagram) || std::holds_alternative<ProgressNotice>(datagram)) {
+        for (const auto &entry : m_subscribers.entriesExcept(sender)) {
+            m_socket.send(entry, datagram);
+        }
     } else if (isLeading()) {
         m_lastContact[ip] = now;
         const auto &status = std::get<RankStatus>(datagram);
--- a/packages/rankgroups/src/statussubscribers.cpp
+++ b/packages/rankgroups/src/statussubscribers.cpp
@@ -47,6 +47,17 @@
                        [](const auto &item) { return item.second.kind == SubscriberKind::Leader; });
 }
 
+std::vector<asio::ip::udp::endpoint> StatusSubscribers::entriesExcept(const asio::ip::udp::endpoint &excluded) const
+{
+    std::vector<asio::ip::udp::endpoint> entries;
+    for (const auto &[address, subscriber] : m_subscribers) {
+        if (subscriber.kind == SubscriberKind::Entry && address != excluded) {
+            entries.push_back(address);
+        }
+    }
+    return entries;
+}
+
 std::vector<AddressedStatus> StatusSubscribers::due(const RankStatus &latest, core::TimePoint now)
 {
     std::erase_if(m_subscribers, [now](const auto &item) { return now >= item.second.expiresAt; });
--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -18,6 +18,8 @@
     RequestsOutcomeUnknown,
     RetriesSent,
     RetriesDeniedByBudget,
+    BackendCrashes,
+    PromptsHeld,
     // Answers between processes
     AnswersComplete,
     AnswersBroken,
--- a/packages/report/src/counters.cpp
+++ b/packages/report/src/counters.cpp
@@ -36,6 +36,8 @@
     {Counter::RequestsOutcomeUnknown, {"requests_outcome_unknown", "Failures that leave open whether it ran"}},
     {Counter::RetriesSent, {"retries_sent", "Attempts after the first one"}},
     {Counter::RetriesDeniedByBudget, {"retries_denied_by_budget", "Retries not sent for lack of retry budget"}},
+    {Counter::BackendCrashes, {"backend_crashes", "Attempts lost before their answer as the backend server crashed"}},
+    {Counter::PromptsHeld, {"prompts_held", "Parts of prompts whose requests began to be held"}},
     {Counter::AnswersComplete, {"answers_complete", "Answers with final frame, chunk count and checksum in order"}},
     {Counter::AnswersBroken, {"answers_broken", "Answers that ended without their final frame"}},
     {Counter::FramesOfUnknownRequests, {"frames_of_unknown_requests", "Frames dropped as their request is unknown"}},
