Pieces of the first event are no progress of a prompt

A backend server that crashes under a prompt may cut off its stream in the middle of its first event. Two pieces of that event counted as progress and cleared the part, so that CrashingRequests.piecesOfTheFirstEventAreNoProgress ended more backend servers than allowed (tried with the count of pieces in place of events: fails). Events are counted now where the stream is followed event by event.

--- a/packages/forwarding/include/lycheelanding/forwarding/calleranswer.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/calleranswer.h
@@ -4,6 +4,7 @@
 #include "lycheelanding/http/clientconnection.h"
 #include "lycheelanding/http/httpserver.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -39,6 +40,11 @@
     bool hasBegun() const { return m_hasBegun; }
     /// Id of the event after which the stream can be resumed; nullopt if it cannot be.
     std::optional<std::uint64_t> lastEvent() const { return m_events ? m_events->lastId() : std::nullopt; }
+    /// Complete events of the current attempt; nullopt where events are not told apart.
+    std::optional<std::size_t> eventCount() const
+    {
+        return m_events ? std::optional(m_events->eventCount()) : std::nullopt;
+    }
     /// Whether too many bytes wait for the caller to read them.
     bool isCallerTooSlow() const;
 
--- a/packages/forwarding/include/lycheelanding/forwarding/eventstreamparser.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/eventstreamparser.h
@@ -2,6 +2,7 @@
 
 #include "lycheelanding/http/eventstreamscanner.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,12 +22,15 @@
     /// Discards an incomplete event, because another backend server resumes the stream.
     void restart();
 
+    /// Complete events since the start or the last restart(), repeated ones included.
+    std::size_t eventCount() const { return m_eventCount; }
     /// Id of the last returned event that had one; nullopt if there was none.
     const std::optional<std::uint64_t> &lastId() const { return m_lastId; }
 
 private:
     http::EventStreamScanner m_scanner;
     std::string m_partial;
+    std::size_t m_eventCount = 0;
     std::optional<std::uint64_t> m_lastId;
 };
 
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -68,6 +68,8 @@
     http::AnswerHead head;
     /// Parts of the body that have arrived.
     std::size_t bodyParts = 0;
+    /// Whether the backend server has shown that it does not crash when it begins the answer.
+    bool hasProgressed = false;
 };
 
 /// One request of a caller, from its arrival to its answer. RequestAttempts decides what may be sent again and what an
@@ -122,6 +124,7 @@
     void onEnd(AttemptNumber attempt, bool isReusable);
     void onFailed(AttemptNumber attempt, const core::Error &error);
     void recordEvent();
+    void recordProgress();
     void finishAnswer();
 
     void onTimeout();
--- a/packages/forwarding/src/eventstreamparser.cpp
+++ b/packages/forwarding/src/eventstreamparser.cpp
@@ -36,6 +36,7 @@
     while (const auto size = m_scanner.findEventEnd(bytes)) {
         m_partial.append(bytes.substr(0, *size));
         bytes.remove_prefix(*size);
+        ++m_eventCount;
         const auto id = idOf(m_partial);
         const bool isRepeated = id && m_lastId && *id <= *m_lastId;
         if (!isRepeated) {
@@ -56,6 +57,7 @@
 void EventStreamParser::restart()
 {
     m_partial.clear();
+    m_eventCount = 0;
     m_scanner = http::EventStreamScanner();
 }
 
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -279,6 +279,7 @@
     }
     recordEvent();
     m_answer.append(m_attempt->head, bytes);
+    recordProgress();
     if (m_answer.hasBegun()) {
         execute(m_attempts->answerStarted(attempt));
     }
@@ -292,9 +293,6 @@
     const auto time = now();
     const auto interval = m_times.recordArrival(time);
     ++m_attempt->bodyParts;
-    if (m_attempt->bodyParts == minPartsOfProgress) {
-        m_resources.prompts.answerProgressed(m_promptParts);
-    }
     if (m_attempt->bodyParts == 1) {
         m_resources.backends.recordFirstEvent(m_attempt->id, m_tokens.prompt, time);
     } else if (interval && m_route->kind == RouteKind::Stream) {
@@ -302,6 +300,15 @@
     }
 }
 
+void ForwardedExchange::recordProgress()
+{
+    const auto parts = m_answer.eventCount().value_or(m_attempt->bodyParts);
+    if (!m_attempt->hasProgressed && parts >= minPartsOfProgress) {
+        m_attempt->hasProgressed = true;
+        m_resources.prompts.answerProgressed(m_promptParts);
+    }
+}
+
 void ForwardedExchange::onEnd(AttemptNumber attempt, bool isReusable)
 {
     if (!isCurrent(attempt)) {
@@ -362,7 +369,7 @@
 void ForwardedExchange::reportCrashSuspicion()
 {
     const auto backend = m_resources.backends.find(m_attempt->backend.id);
-    if (!backend || m_attempt->bodyParts >= minPartsOfProgress) {
+    if (!backend || m_attempt->hasProgressed) {
         return;
     }
     // A backend server may start again under its id.
--- a/packages/forwarding/tests/crashingrequeststest.cpp
+++ b/packages/forwarding/tests/crashingrequeststest.cpp
@@ -48,6 +48,7 @@
         ++crashes;
         ended.push_back(backend);
         ScriptedResponse response;
+        response.bytes = firstBytes;
         response.endsBackend = true;
         return response;
     }
@@ -63,6 +64,8 @@
     }
 
     EntrySimulation simulation;
+    /// What a backend server sends before it crashes.
+    std::string firstBytes;
     int backends = 0;
     int requests = 0;
     int crashes = 0;
@@ -118,4 +121,16 @@
     EXPECT_LT(entry.crashes, backendCount / 2);
 }
 
+// A backend server may send a part of the first event before it crashes, in several pieces.
+TEST(CrashingRequests, piecesOfTheFirstEventAreNoProgress)
+{
+    CrashSimulation entry;
+    entry.firstBytes = "HTTP/1.1 200 OK\r\nProof: p\r\nAttempt: 77\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "3\r\nid:\r\n3\r\n 1\n\r\n";
+    for (int number = 0; number < backendCount; ++number) {
+        entry.send("common:40,bad:100");
+    }
+    EXPECT_LE(entry.crashes, crashesUntilRecognised + requestsSentLater);
+}
+
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -88,10 +88,6 @@
                                                }
                                                requests.emplace_back(connection->buffer.data(), size);
                                                const auto response = m_script(requests.back());
-                                               if (response.endsBackend) {
-                                                   end();
-                                                   return;
-                                               }
                                                respond(connection, response);
                                            });
     }
@@ -111,6 +107,10 @@
         connection->output = response.bytes;
         asio::async_write(connection->socket, asio::buffer(connection->output),
                           [this, connection, response](const auto &, auto) {
+                              if (response.endsBackend) {
+                                  end();
+                                  return;
+                              }
                               if (response.resetsConnection) {
                                   connection->socket.set_option(asio::socket_base::linger(true, 0));
                               }
