--- a/packages/forwarding/src/refusal.cpp
+++ b/packages/forwarding/src/refusal.cpp
@@ -58,6 +58,10 @@
 core::Error withRetryAfter(const core::Error &error, core::Duration timeLeft)
 {
     core::Error result = error;
+    // A held prompt is refused until its hold ends, however little time the caller has left.
+    if (error.kind == core::ErrorKind::PromptHeld && error.retryAfter) {
+        return result;
+    }
     if (core::answerOf(error.kind).retryCanSucceed) {
         const auto limit
             = percentOf(std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft), maxRetryAfterPercent);
--- a/packages/forwarding/tests/refusaltest.cpp
+++ b/packages/forwarding/tests/refusaltest.cpp
@@ -43,6 +43,14 @@
     EXPECT_GT(*withRetryAfter(error, 3s).retryAfter, 900ms);
 }
 
+TEST(RefusalTest, retryDelayOfAHeldPromptIsTheTimeOfItsHold)
+{
+    core::Error error{core::ErrorKind::PromptHeld, "held"};
+    error.retryAfter = 10min;
+    EXPECT_EQ(withRetryAfter(error, 8s).retryAfter, 10min);
+    EXPECT_EQ(refusalResponse(error).headers.find("Retry-After"), "600.000");
+}
+
 TEST(RefusalTest, errorsThatARetryCannotFixHaveNoRetryAfter)
 {
     const core::Error error{core::ErrorKind::UnknownRoute, "no route"};
