--- a/packages/http/tests/eventstreamscannertest.cpp
+++ b/packages/http/tests/eventstreamscannertest.cpp
@@ -56,7 +56,8 @@
     // Also after the carriage return of an event's last line end, since a line feed alone changes nothing there.
     std::vector<std::size_t> boundaries{0};
     for (int number = 0; number < count; ++number) {
-        text += "id: " + std::to_string(number) + lineEnd + "data: x" + lineEnd + lineEnd;
+        text.append("id: ").append(std::to_string(number)).append(lineEnd);
+        text.append("data: x").append(lineEnd).append(lineEnd);
         boundaries.push_back(text.size());
         boundaries.push_back(lineEnd.size() == 2 ? text.size() - 1 : text.size());
     }
--- a/packages/rankgroups/tests/crashnoticestest.cpp
+++ b/packages/rankgroups/tests/crashnoticestest.cpp
@@ -11,7 +11,6 @@
 
 using namespace std::chrono_literals;
 using decisions::quarantine::CrashReport;
-using decisions::quarantine::ProgressReport;
 using decisions::quarantine::PromptPart;
 using decisions::quarantine::PromptParts;
 
