Held prompts: certainty grows with failed probes, companions by crash, probes are reported

The model of the fleet in the test now loses waiting requests with their backend server, repeats held reports and relays them like the sides.

--- a/packages/decisions/include/lycheelanding/decisions/quarantine/promptquarantine.h
+++ b/packages/decisions/include/lycheelanding/decisions/quarantine/promptquarantine.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,32 +35,41 @@
     bool operator==(const ProgressReport &) const = default;
 };
 
+/// A request with these shared prompt parts was sent after a hold, to find out whether they still crash backend
+/// servers.
+struct ProbeReport
+{
+    PromptParts parts;
+    core::TimePoint time;
+
+    bool operator==(const ProbeReport &) const = default;
+};
+
 struct QuarantineSettings
 {
     /// Crashes in a row after which requests with a part are held.
     std::size_t minCrashes = 2;
-    /// How long they are held then, plus a random part of the same length that differs between entries, so that few of
-    /// them probe at once.
-    core::Duration firstHold = std::chrono::seconds(5);
-    /// Crashes in a row after which a probe has failed too.
-    std::size_t confirmedCrashes = 3;
-    /// How long requests are held after a failed probe; doubled by each further one.
-    core::Duration confirmedHold = std::chrono::minutes(10);
+    /// How long they are held at first, after one failed probe, and so on. A random part of the same length is added
+    /// that differs between entries, so that few of them probe at once. A sound part may be held by chance, so the
+    /// first times are short.
+    std::vector<core::Duration> holds{std::chrono::seconds(5), std::chrono::minutes(2), std::chrono::hours(1),
+                                      std::chrono::hours(24)};
     /// Time in which a probe shows its outcome; no other one is sent meanwhile.
     core::Duration probeTimeout = std::chrono::seconds(5);
     /// A part is forgotten this long after its last crash, or after the end of its hold.
     core::Duration suspicionTime = std::chrono::minutes(10);
     /// Bounds the memory; the part whose last crash is the oldest is forgotten first.
-    std::size_t maxSuspects = 512;
+    std::size_t maxSuspects = 256;
 };
 
 /// Finds parts of prompts that crash each backend server that begins to answer them (poison pill requests), and holds
 /// requests that contain them. Entries exchange their reports, so that the crashes seen by all of them count. Reports
 /// may arrive late, repeatedly and in any order.
 ///
-/// A part is suspected while backend servers crash under it in a row; progress of any request with it clears it. Parts
-/// that were always together with it are its companions: requests without one of them are not held, so that a sound
-/// part that is common to many prompts is cleared by other requests.
+/// A part is suspected while backend servers crash under it in a row; progress of any request with it clears it. Its
+/// companions are the parts that were together with it in some request of each of its crashes, and so explain them as
+/// well: requests without one of them are not held, so that a sound part that is common to many prompts is cleared by
+/// other requests.
 class PromptQuarantine
 {
 public:
@@ -72,8 +82,10 @@
 
     /// How long a request with these parts is held; nullopt if it may be sent now.
     std::optional<core::Duration> holdTime(const PromptParts &parts, core::TimePoint now) const;
-    /// The request is sent. If its parts were held before, it is the probe that decides whether they are held on.
-    void sent(const PromptParts &parts, core::TimePoint now);
+    /// The request is sent. Returns whether it is the probe that decides whether its parts are held on.
+    bool sent(const PromptParts &parts, core::TimePoint now);
+    /// Another entry has sent a probe.
+    void probed(const ProbeReport &report);
     /// Forgets old suspicions; to be called about once a second.
     void tick(core::TimePoint now);
 
@@ -82,16 +94,31 @@
     bool isEmpty() const { return m_suspects.empty(); }
 
 private:
+    struct Crash
+    {
+        core::TimePoint time;
+        /// The other parts of the requests with the suspected part that the backend server held.
+        std::set<PromptPart> others;
+    };
     struct Suspect
     {
-        /// Time of each crash by backend server.
-        std::map<std::string, core::TimePoint> crashes;
+        /// By backend server.
+        std::map<std::string, Crash> crashes;
         core::TimePoint lastCrash;
-        /// Sorted.
-        PromptParts companions;
         core::TimePoint probeUntil;
     };
 
+    struct Hold
+    {
+        core::TimePoint start;
+        std::size_t failedProbes = 0;
+    };
+
+    static PromptParts companionsOf(const Suspect &suspect);
+    static bool hasCompanions(const Suspect &suspect, const PromptParts &parts);
+    /// nullopt while there are too few crashes.
+    std::optional<Hold> holdOf(const Suspect &suspect) const;
+
     void addCrash(const PromptPart &part, const CrashReport &report);
     void removeOldest();
     core::TimePoint heldUntil(const PromptPart &part, const Suspect &suspect) const;
--- a/packages/decisions/src/quarantine/promptquarantine.cpp
+++ b/packages/decisions/src/quarantine/promptquarantine.cpp
@@ -3,28 +3,20 @@
 #include "lycheelanding/core/stablehash.h"
 
 #include <algorithm>
-#include <iterator>
-#include <set>
 
 namespace lycheelanding::decisions::quarantine {
 
 namespace {
 
-/// Crashes of one part that are counted; the hold time no longer grows beyond them.
-constexpr std::size_t maxCrashesPerPart = 8;
+/// Bound the memory. Several backend servers may crash at once under requests that are already there.
+constexpr std::size_t maxCrashesPerPart = 32;
+constexpr std::size_t maxOthersPerCrash = 8;
 
 bool contains(const PromptParts &parts, const PromptPart &part)
 {
     return std::find(parts.begin(), parts.end(), part) != parts.end();
 }
 
-PromptParts companionsIn(const PromptParts &parts, const PromptPart &part)
-{
-    std::set<PromptPart> others(parts.begin(), parts.end());
-    others.erase(part);
-    return {others.begin(), others.end()};
-}
-
 } // namespace
 
 PromptQuarantine::PromptQuarantine(const QuarantineSettings &settings, std::uint64_t seed)
@@ -45,29 +37,40 @@
 
 void PromptQuarantine::addCrash(const PromptPart &part, const CrashReport &report)
 {
-    const auto known = m_suspects.find(part);
-    if (known == m_suspects.end()) {
-        if (m_suspects.size() >= m_settings.maxSuspects) {
-            removeOldest();
+    if (!m_suspects.contains(part) && m_suspects.size() >= m_settings.maxSuspects) {
+        removeOldest();
+    }
+    auto &suspect = m_suspects[part];
+    if (!suspect.crashes.contains(report.backend)) {
+        if (suspect.crashes.size() >= maxCrashesPerPart) {
+            suspect.crashes.erase(std::min_element(
+                suspect.crashes.begin(), suspect.crashes.end(),
+                [](const auto &left, const auto &right) { return left.second.time < right.second.time; }));
         }
-        Suspect suspect;
-        suspect.crashes.emplace(report.backend, report.time);
-        suspect.lastCrash = report.time;
-        suspect.companions = companionsIn(report.parts, part);
-        m_suspects.emplace(part, std::move(suspect));
-        return;
+        suspect.lastCrash = std::max(suspect.lastCrash, report.time);
+        suspect.probeUntil = {};
     }
-    auto &suspect = known->second;
+    auto &crash = suspect.crashes.emplace(report.backend, Crash{report.time, {}}).first->second;
+    for (const auto &other : report.parts) {
+        const auto cleared = m_clearedAt.find(other);
+        const bool isCleared = cleared != m_clearedAt.end() && cleared->second >= report.time;
+        if (other != part && !isCleared && crash.others.size() < maxOthersPerCrash) {
+            crash.others.insert(other);
+        }
+    }
+}
+
+PromptParts PromptQuarantine::companionsOf(const Suspect &suspect)
+{
     PromptParts companions;
-    const auto others = companionsIn(report.parts, part);
-    std::set_intersection(suspect.companions.begin(), suspect.companions.end(), others.begin(), others.end(),
-                          std::back_inserter(companions));
-    suspect.companions = std::move(companions);
-    if (suspect.crashes.size() >= maxCrashesPerPart || !suspect.crashes.emplace(report.backend, report.time).second) {
-        return;
+    for (const auto &other : suspect.crashes.begin()->second.others) {
+        const bool isInEach = std::all_of(suspect.crashes.begin(), suspect.crashes.end(),
+                                          [&other](const auto &crash) { return crash.second.others.contains(other); });
+        if (isInEach) {
+            companions.push_back(other);
+        }
     }
-    suspect.lastCrash = std::max(suspect.lastCrash, report.time);
-    suspect.probeUntil = {};
+    return companions;
 }
 
 void PromptQuarantine::removeOldest()
@@ -87,7 +90,7 @@
             continue;
         }
         // A crash that came later is not refuted.
-        std::erase_if(known->second.crashes, [&report](const auto &crash) { return crash.second <= report.time; });
+        std::erase_if(known->second.crashes, [&report](const auto &crash) { return crash.second.time <= report.time; });
         if (known->second.crashes.empty()) {
             m_suspects.erase(known);
         }
@@ -98,21 +101,53 @@
     if (hasCleared) {
         // The cleared parts do not explain the crashes under the others.
         for (auto &[part, suspect] : m_suspects) {
-            std::erase_if(suspect.companions, [&report](const auto &other) { return contains(report.parts, other); });
+            for (auto &[backend, crash] : suspect.crashes) {
+                std::erase_if(crash.others, [&report](const auto &other) { return contains(report.parts, other); });
+            }
         }
     }
     return hasCleared;
 }
 
+std::optional<PromptQuarantine::Hold> PromptQuarantine::holdOf(const Suspect &suspect) const
+{
+    if (suspect.crashes.size() < m_settings.minCrashes) {
+        return std::nullopt;
+    }
+    std::vector<core::TimePoint> times;
+    times.reserve(suspect.crashes.size());
+    for (const auto &[backend, crash] : suspect.crashes) {
+        times.push_back(crash.time);
+    }
+    std::sort(times.begin(), times.end());
+    Hold hold{times[m_settings.minCrashes - 1], 0};
+    for (const auto time : times) {
+        // Crashes before the end of a hold are those of requests that were sent before it.
+        if (time >= hold.start + m_settings.holds[hold.failedProbes]) {
+            hold.start = time;
+            hold.failedProbes = std::min(hold.failedProbes + 1, m_settings.holds.size() - 1);
+        }
+    }
+    return hold;
+}
+
 core::TimePoint PromptQuarantine::heldUntil(const PromptPart &part, const Suspect &suspect) const
 {
     constexpr std::uint64_t thousandths = 1000;
-    if (suspect.crashes.size() < m_settings.confirmedCrashes) {
-        const auto random = core::mixBits(m_seed ^ core::stableHash(part.text())) % thousandths;
-        return suspect.lastCrash + m_settings.firstHold + m_settings.firstHold * random / thousandths;
+    const auto hold = holdOf(suspect);
+    if (!hold) {
+        return {};
     }
-    const auto doublings = suspect.crashes.size() - m_settings.confirmedCrashes;
-    return suspect.lastCrash + m_settings.confirmedHold * (std::int64_t{1} << doublings);
+    const auto time = m_settings.holds[hold->failedProbes];
+    const auto random = core::mixBits(m_seed ^ core::stableHash(part.text())) % thousandths;
+    return hold->start + time + time * random / thousandths;
+}
+
+bool PromptQuarantine::hasCompanions(const Suspect &suspect, const PromptParts &parts)
+{
+    const auto companions = companionsOf(suspect);
+    return std::all_of(companions.begin(), companions.end(),
+                       [&parts](const auto &other) { return contains(parts, other); });
 }
 
 std::optional<core::Duration> PromptQuarantine::holdTime(const PromptParts &parts, core::TimePoint now) const
@@ -120,26 +155,35 @@
     std::optional<core::Duration> result;
     for (const auto &part : parts) {
         const auto known = m_suspects.find(part);
-        if (known == m_suspects.end() || !isHeldPart(known->second)) {
+        if (known == m_suspects.end() || !isHeldPart(known->second) || !hasCompanions(known->second, parts)) {
             continue;
         }
-        const auto &suspect = known->second;
-        const bool hasCompanions = std::all_of(suspect.companions.begin(), suspect.companions.end(),
-                                               [&parts](const auto &other) { return contains(parts, other); });
-        const auto until = std::max(heldUntil(part, suspect), suspect.probeUntil);
-        if (hasCompanions && now < until) {
+        const auto until = std::max(heldUntil(part, known->second), known->second.probeUntil);
+        if (now < until) {
             result = std::max(result.value_or(core::Duration::zero()), until - now);
         }
     }
     return result;
 }
 
-void PromptQuarantine::sent(const PromptParts &parts, core::TimePoint now)
+bool PromptQuarantine::sent(const PromptParts &parts, core::TimePoint now)
 {
-    for (const auto &part : parts) {
+    const bool isProbe = std::any_of(parts.begin(), parts.end(), [this, &parts](const auto &part) {
+        const auto known = m_suspects.find(part);
+        return known != m_suspects.end() && isHeldPart(known->second) && hasCompanions(known->second, parts);
+    });
+    if (isProbe) {
+        probed({parts, now});
+    }
+    return isProbe;
+}
+
+void PromptQuarantine::probed(const ProbeReport &report)
+{
+    for (const auto &part : report.parts) {
         const auto known = m_suspects.find(part);
         if (known != m_suspects.end() && isHeldPart(known->second)) {
-            known->second.probeUntil = now + m_settings.probeTimeout;
+            known->second.probeUntil = std::max(known->second.probeUntil, report.time + m_settings.probeTimeout);
         }
     }
 }
@@ -161,10 +205,10 @@
         if (!isHeldPart(suspect) || now >= heldUntil(part, suspect)) {
             continue;
         }
-        PromptParts parts = suspect.companions;
+        PromptParts parts = companionsOf(suspect);
         parts.push_back(part);
-        for (const auto &[backend, time] : suspect.crashes) {
-            reports.push_back({backend, parts, time});
+        for (const auto &[backend, crash] : suspect.crashes) {
+            reports.push_back({backend, parts, crash.time});
         }
     }
     return reports;
--- a/packages/decisions/tests/quarantine/crashingpromptstest.cpp
+++ b/packages/decisions/tests/quarantine/crashingpromptstest.cpp
@@ -6,9 +6,12 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <functional>
+#include <memory>
 #include <queue>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace lycheelanding::decisions::quarantine {
@@ -23,6 +26,8 @@
 constexpr core::Duration reportDelay = 5ms;
 constexpr core::Duration retryDelay = 20ms;
 constexpr core::Duration playTime = 120s;
+constexpr core::Duration repeatIntervalPerEntry = 250ms;
+constexpr std::size_t backendCount = 16;
 /// The users' bounds.
 constexpr core::Duration stableWindow = 3s;
 constexpr std::size_t crashesUntilRecognised = 5;
@@ -40,7 +45,8 @@
 };
 
 /// Entries that exchange reports, in virtual time. Requests with the bad part crash the backend server that begins to
-/// answer them; each is retried once, like every other lost request.
+/// answer them, and all requests there that have no answer yet are lost with it; each is retried once. The backend
+/// server is back at once, as a new incarnation.
 class Fleet
 {
 public:
@@ -59,6 +65,12 @@
 
     void play()
     {
+        const auto repeatInterval = repeatIntervalPerEntry * m_entries.size();
+        for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+            for (core::Duration at = repeatIntervalPerEntry * entry; at < playTime; at += repeatInterval) {
+                schedule(start + at, [this, entry] { repeatHeldReports(entry); });
+            }
+        }
         while (!m_events.empty()) {
             const auto event = m_events.top();
             m_events.pop();
@@ -102,39 +114,88 @@
                           + std::to_string(m_random.nextBelow(static_cast<std::uint64_t>(m_options.firstParts))));
     }
 
+    struct SentRequest
+    {
+        std::size_t entry = 0;
+        PromptParts parts;
+        int attemptsLeft = 0;
+        bool isLost = false;
+    };
+
+    static bool isBad(const PromptParts &parts) { return parts.back() == PromptPart("bad"); }
+
     void send(std::size_t entry, const PromptParts &parts, int attemptsLeft)
     {
-        const bool isBad = parts.back() == PromptPart("bad");
         if (m_entries[entry].holdTime(parts, m_now)) {
-            m_soundHeld += isBad ? 0 : 1;
+            m_soundHeld += isBad(parts) ? 0 : 1;
             return;
         }
-        m_entries[entry].sent(parts, m_now);
-        if (!isBad) {
+        if (m_entries[entry].sent(parts, m_now)) {
+            const ProbeReport report{parts, m_now};
+            share(entry, [report](auto &other) { other.probed(report); });
+        }
+        if (isBad(parts)) {
+            m_badSent.push_back(m_now);
+        } else {
             ++m_soundSent;
-            schedule(m_now + timeToFirstToken, [this, entry, parts] { progress(entry, parts); });
-            return;
         }
-        m_badSent.push_back(m_now);
-        schedule(m_now + timeToFirstToken, [this, entry, parts, attemptsLeft] { crash(entry, parts, attemptsLeft); });
+        const auto backend = m_random.nextBelow(backendCount);
+        const auto request = std::make_shared<SentRequest>(SentRequest{entry, parts, attemptsLeft});
+        m_waiting[backend].push_back(request);
+        schedule(m_now + timeToFirstToken, [this, backend, request] { begin(backend, request); });
     }
 
-    void progress(std::size_t entry, const PromptParts &parts)
+    void begin(std::size_t backend, const std::shared_ptr<SentRequest> &request)
     {
-        const ProgressReport report{parts, m_now};
-        if (m_entries[entry].progressed(report)) {
-            share(entry, [report](auto &other) { other.progressed(report); });
+        if (request->isLost) {
+            return;
+        }
+        if (isBad(request->parts)) {
+            crash(backend);
+            return;
+        }
+        std::erase(m_waiting[backend], request);
+        const ProgressReport report{request->parts, m_now};
+        if (m_entries[request->entry].progressed(report)) {
+            share(request->entry, [report](auto &other) { other.progressed(report); });
         }
     }
 
-    void crash(std::size_t entry, const PromptParts &parts, int attemptsLeft)
+    void crash(std::size_t backend)
     {
-        const CrashReport report{"b" + std::to_string(m_crashTimes.size()), parts, m_now};
+        const auto incarnation = "b" + std::to_string(m_crashTimes.size());
         m_crashTimes.push_back(m_now);
-        m_entries[entry].crashed(report);
-        share(entry, [report](auto &other) { other.crashed(report); });
-        if (attemptsLeft > 1) {
-            schedule(m_now + retryDelay, [this, entry, parts, attemptsLeft] { send(entry, parts, attemptsLeft - 1); });
+        for (const auto &request : std::exchange(m_waiting[backend], {})) {
+            request->isLost = true;
+            const CrashReport report{incarnation, request->parts, m_now};
+            m_entries[request->entry].crashed(report);
+            share(request->entry, [report](auto &other) { other.crashed(report); });
+            if (request->attemptsLeft > 1) {
+                schedule(m_now + retryDelay,
+                         [this, request] { send(request->entry, request->parts, request->attemptsLeft - 1); });
+            }
+        }
+    }
+
+    /// A report goes to three sides, each of which relays it: two datagrams each way.
+    bool isDelivered()
+    {
+        constexpr int relays = 3;
+        bool isDelivered = false;
+        for (int relay = 0; relay < relays; ++relay) {
+            const bool hasLostFirst = isDatagramLost();
+            const bool hasLostSecond = isDatagramLost();
+            isDelivered = isDelivered || (!hasLostFirst && !hasLostSecond);
+        }
+        return isDelivered;
+    }
+
+    bool isDatagramLost() { return m_random.nextBelow(100) < static_cast<std::uint64_t>(m_options.lostReportPercent); }
+
+    void repeatHeldReports(std::size_t entry)
+    {
+        for (const auto &report : m_entries[entry].heldReports(m_now)) {
+            share(entry, [report](auto &other) { other.crashed(report); });
         }
     }
 
@@ -142,8 +203,7 @@
     void share(std::size_t from, Report report)
     {
         for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
-            const bool isLost = m_random.nextBelow(100) < static_cast<std::uint64_t>(m_options.lostReportPercent);
-            if (entry != from && !isLost) {
+            if (entry != from && isDelivered()) {
                 schedule(m_now + reportDelay, [this, entry, report] { report(m_entries[entry]); });
             }
         }
@@ -155,6 +215,7 @@
     std::priority_queue<Event> m_events;
     std::size_t m_eventCount = 0;
     core::TimePoint m_now;
+    std::array<std::vector<std::shared_ptr<SentRequest>>, backendCount> m_waiting;
     std::vector<core::TimePoint> m_crashTimes;
     std::vector<core::TimePoint> m_badSent;
     std::size_t m_soundSent = 0;
@@ -181,10 +242,11 @@
     for (const int firstParts : {1, 60}) {
         FleetOptions options;
         options.firstParts = firstParts;
+        options.soundInterval = 10ms;
         Fleet fleet(options);
         fleet.play();
         EXPECT_LE(fleet.badSentLater(), requestsSentLater);
-        EXPECT_LE(fleet.soundHeld(), fleet.soundSent() / 20);
+        EXPECT_LE(fleet.soundHeld(), fleet.soundSent() / 20) << firstParts << " first parts";
     }
 }
 
@@ -192,8 +254,8 @@
 {
     FleetOptions options;
     options.entries = *rc::gen::inRange<std::size_t>(1, 40);
-    options.badInterval = std::chrono::milliseconds(*rc::gen::inRange(50, 5000));
-    options.soundInterval = std::chrono::milliseconds(*rc::gen::inRange(50, 5000));
+    options.badInterval = std::chrono::milliseconds(*rc::gen::inRange(20, 5000));
+    options.soundInterval = std::chrono::milliseconds(*rc::gen::inRange(5, 1000));
     options.firstParts = *rc::gen::inRange(1, 60);
     options.lostReportPercent = *rc::gen::inRange(0, 20);
     options.seed = *rc::gen::inRange<std::uint64_t>(1, 1000000);
--- a/packages/decisions/tests/quarantine/promptquarantinetest.cpp
+++ b/packages/decisions/tests/quarantine/promptquarantinetest.cpp
@@ -63,6 +63,19 @@
     EXPECT_TRUE(isHeld(quarantine, {PromptPart("third"), bad}, start + 500ms));
 }
 
+// Sound requests that wait at the same backend servers share the first part of the prompt, but not the crashing one.
+TEST(PromptQuarantine, soundRequestsOfTheSameCrashesAreNotHeld)
+{
+    PromptQuarantine quarantine(QuarantineSettings(), 7);
+    for (const auto *backend : {"b1", "b2"}) {
+        quarantine.crashed(crash(backend, {common, other}, start));
+        quarantine.crashed(crash(backend, {common, PromptPart(backend)}, start));
+        quarantine.crashed(crash(backend, {common, bad}, start));
+    }
+    EXPECT_TRUE(isHeld(quarantine, {common, bad}, start));
+    EXPECT_FALSE(isHeld(quarantine, {common, PromptPart("third")}, start));
+}
+
 TEST(PromptQuarantine, progressOfASoundRequestClearsTheCommonPart)
 {
     auto quarantine = crashedTwice();
@@ -87,19 +100,40 @@
 {
     const QuarantineSettings settings;
     auto quarantine = crashedTwice();
-    const auto probeTime = start + 300ms + 2 * settings.firstHold;
+    const auto probeTime = start + 300ms + 2 * settings.holds[0];
     ASSERT_FALSE(isHeld(quarantine, {common, bad}, probeTime));
-    quarantine.sent({common, bad}, probeTime);
+    EXPECT_TRUE(quarantine.sent({common, bad}, probeTime));
     EXPECT_TRUE(isHeld(quarantine, {common, bad}, probeTime + 1ms));
 
     auto failed = quarantine;
     failed.crashed(crash("b3", {common, bad}, probeTime + 200ms));
-    EXPECT_TRUE(isHeld(failed, {common, bad}, probeTime + settings.confirmedHold));
+    EXPECT_TRUE(isHeld(failed, {common, bad}, probeTime + settings.holds[1]));
 
     quarantine.progressed({{common, bad}, probeTime + 200ms});
     EXPECT_FALSE(isHeld(quarantine, {common, bad}, probeTime + 201ms));
 }
 
+TEST(PromptQuarantine, probeOfAnotherEntryHoldsTheRequestsOfThisOne)
+{
+    const QuarantineSettings settings;
+    auto quarantine = crashedTwice();
+    const auto probeTime = start + 300ms + 2 * settings.holds[0];
+    quarantine.probed({{common, bad}, probeTime});
+    EXPECT_TRUE(isHeld(quarantine, {common, bad}, probeTime + 1ms));
+    EXPECT_FALSE(isHeld(quarantine, {common, bad}, probeTime + settings.probeTimeout));
+}
+
+// Requests that are already at other backend servers crash them while the part is held: no probe has failed.
+TEST(PromptQuarantine, crashesDuringAHoldDoNotProlongIt)
+{
+    const QuarantineSettings settings;
+    auto quarantine = crashedTwice();
+    for (const auto *backend : {"b3", "b4", "b5"}) {
+        quarantine.crashed(crash(backend, {common, bad}, start + 400ms));
+    }
+    EXPECT_FALSE(isHeld(quarantine, {common, bad}, start + 300ms + 2 * settings.holds[0]));
+}
+
 TEST(PromptQuarantine, reportsOfHeldPartsMakeAnotherEntryHoldThem)
 {
     const auto quarantine = crashedTwice();
--- a/packages/forwarding/include/lycheelanding/forwarding/promptguard.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/promptguard.h
@@ -17,6 +17,7 @@
 {
     std::function<void(const decisions::quarantine::CrashReport &)> onCrash;
     std::function<void(const decisions::quarantine::ProgressReport &)> onProgress;
+    std::function<void(const decisions::quarantine::ProbeReport &)> onProbe;
 };
 
 /// Holds requests whose prompts crash backend servers: feeds the quarantine with lost attempts and progress of this
@@ -39,6 +40,7 @@
     /// Applies a report of another entry.
     void apply(const decisions::quarantine::CrashReport &report);
     void apply(const decisions::quarantine::ProgressReport &report);
+    void apply(const decisions::quarantine::ProbeReport &report) { m_quarantine.probed(report); }
     /// What other entries need to hold the same requests.
     std::vector<decisions::quarantine::CrashReport> heldReports() const;
     /// To be called about once a second.
--- a/packages/forwarding/src/promptguard.cpp
+++ b/packages/forwarding/src/promptguard.cpp
@@ -32,8 +32,13 @@
 
 void PromptGuard::requestSent(const PromptParts &parts)
 {
-    if (!m_quarantine.isEmpty()) {
-        m_quarantine.sent(parts, m_clock.now());
+    const auto now = m_clock.now();
+    if (m_quarantine.isEmpty() || !m_quarantine.sent(parts, now)) {
+        return;
+    }
+    m_log.write(LogImportance::Request, "promptProbed", {{"promptParts", joinedText(parts)}});
+    if (m_handlers.onProbe) {
+        m_handlers.onProbe({parts, now});
     }
 }
 
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
@@ -66,9 +66,16 @@
     std::uint32_t ageMs = 0;
 };
 
+/// The same way: a request with these parts in its prompt was sent to find out whether they crash backend servers.
+struct ProbeNotice
+{
+    decisions::quarantine::PromptParts parts;
+    std::uint32_t ageMs = 0;
+};
+
 /// CountsReport: from a side to its collector, and from a collector to the group's leader.
-using Datagram
-    = std::variant<Subscription, RankStatus, CommandOrder, CommandReply, CountsReport, CrashNotice, ProgressNotice>;
+using Datagram = std::variant<Subscription, RankStatus, CommandOrder, CommandReply, CountsReport, CrashNotice,
+                              ProgressNotice, ProbeNotice>;
 
 /// Guards against foreign bytes: larger datagrams are rejected before decoding, and a text or list in one that claims
 /// to be longer is not allocated.
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankstatusreceiver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankstatusreceiver.h
@@ -29,6 +29,7 @@
     void relay(const Datagram &notice);
     void relay(const decisions::quarantine::CrashReport &report);
     void relay(const decisions::quarantine::ProgressReport &report);
+    void relay(const decisions::quarantine::ProbeReport &report);
     void repeatHeldReports();
     std::uint32_t ageMsOf(core::TimePoint time) const;
     void onStatus(const std::string &ip, const RankStatus &status);
--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -223,34 +223,56 @@
     return parts;
 }
 
+template <typename Archive, typename Notice>
+void saveNotice(Archive &archive, const Notice &notice)
+{
+    savePromptParts(archive, notice.parts);
+    archive(notice.ageMs);
+}
+
+template <typename Archive, typename Notice>
+void loadNotice(Archive &archive, Notice &notice)
+{
+    notice.parts = loadPromptParts(archive);
+    archive(notice.ageMs);
+}
+
 template <typename Archive>
 void save(Archive &archive, const CrashNotice &notice)
 {
     saveBytes(archive, notice.backend);
-    savePromptParts(archive, notice.parts);
-    archive(notice.ageMs);
+    saveNotice(archive, notice);
 }
 
 template <typename Archive>
 void load(Archive &archive, CrashNotice &notice)
 {
     notice.backend = loadBytes(archive);
-    notice.parts = loadPromptParts(archive);
-    archive(notice.ageMs);
+    loadNotice(archive, notice);
 }
 
 template <typename Archive>
 void save(Archive &archive, const ProgressNotice &notice)
 {
-    savePromptParts(archive, notice.parts);
-    archive(notice.ageMs);
+    saveNotice(archive, notice);
 }
 
 template <typename Archive>
 void load(Archive &archive, ProgressNotice &notice)
 {
-    notice.parts = loadPromptParts(archive);
-    archive(notice.ageMs);
+    loadNotice(archive, notice);
+}
+
+template <typename Archive>
+void save(Archive &archive, const ProbeNotice &notice)
+{
+    saveNotice(archive, notice);
+}
+
+template <typename Archive>
+void load(Archive &archive, ProbeNotice &notice)
+{
+    loadNotice(archive, notice);
 }
 
 std::string encodeDatagram(const Datagram &datagram)
--- a/packages/rankgroups/src/rankstatusreceiver.cpp
+++ b/packages/rankgroups/src/rankstatusreceiver.cpp
@@ -5,6 +5,7 @@
 namespace lycheelanding::rankgroups {
 
 using decisions::quarantine::CrashReport;
+using decisions::quarantine::ProbeReport;
 using decisions::quarantine::ProgressReport;
 
 namespace {
@@ -28,8 +29,9 @@
                                              }),
       m_timer(context)
 {
-    m_entry.prompts().setReportHandlers(
-        {[this](const auto &report) { relay(report); }, [this](const auto &report) { relay(report); }});
+    m_entry.prompts().setReportHandlers({[this](const auto &report) { relay(report); },
+                                         [this](const auto &report) { relay(report); },
+                                         [this](const auto &report) { relay(report); }});
 }
 
 void RankStatusReceiver::onDatagram(const std::string &ip, const Datagram &datagram)
@@ -42,6 +44,9 @@
     } else if (const auto *progress = std::get_if<ProgressNotice>(&datagram)) {
         const auto time = m_clock.now() - std::chrono::milliseconds(progress->ageMs);
         m_entry.prompts().apply(ProgressReport{progress->parts, time});
+    } else if (const auto *probe = std::get_if<ProbeNotice>(&datagram)) {
+        const auto time = m_clock.now() - std::chrono::milliseconds(probe->ageMs);
+        m_entry.prompts().apply(ProbeReport{probe->parts, time});
     }
 }
 
@@ -128,6 +133,11 @@
     relay(Datagram(ProgressNotice{report.parts, ageMsOf(report.time)}));
 }
 
+void RankStatusReceiver::relay(const ProbeReport &report)
+{
+    relay(Datagram(ProbeNotice{report.parts, ageMsOf(report.time)}));
+}
+
 void RankStatusReceiver::repeatHeldReports()
 {
     for (const auto &report : m_entry.prompts().heldReports()) {
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -42,6 +42,13 @@
     return static_cast<std::int64_t>(value * scale);
 }
 
+/// Whether a side relays the datagram between entries.
+bool isForEntries(const Datagram &datagram)
+{
+    return std::holds_alternative<CrashNotice>(datagram) || std::holds_alternative<ProgressNotice>(datagram)
+        || std::holds_alternative<ProbeNotice>(datagram);
+}
+
 CommandLink commandLinkOf(const SideServerSettings &settings)
 {
     constexpr double bitsPerByte = 8.0;
@@ -213,7 +220,7 @@
         executeOrder(sender, *order);
     } else if (const auto *reply = std::get_if<CommandReply>(&datagram)) {
         onReply(ip, *reply);
-    } else if (std::holds_alternative<CrashNotice>(datagram) || std::holds_alternative<ProgressNotice>(datagram)) {
+    } else if (isForEntries(datagram)) {
         for (const auto &entry : m_subscribers.entriesExcept(sender)) {
             m_socket.send(entry, datagram);
         }
