--- a/packages/http/src/eventstreamscanner.cpp
+++ b/packages/http/src/eventstreamscanner.cpp
@@ -7,7 +7,10 @@
 
 bool isEventStream(const HttpHeaders &headers)
 {
-    return headers.find("Content-Type").value_or(std::string()).starts_with("text/event-stream");
+    constexpr std::string_view eventStream = "text/event-stream";
+    const auto type = headers.find("Content-Type").value_or(std::string());
+    // Media types, like names of headers, are compared without case.
+    return isSameHeaderName(std::string_view(type).substr(0, eventStream.size()), eventStream);
 }
 
 std::optional<std::size_t> EventStreamScanner::findEventEnd(std::string_view bytes)
--- a/packages/http/tests/eventstreamscannertest.cpp
+++ b/packages/http/tests/eventstreamscannertest.cpp
@@ -24,6 +24,19 @@
 
 } // namespace
 
+TEST(EventStreamScanner, contentTypeIsComparedWithoutCase)
+{
+    for (const std::string type : {"text/event-stream", "Text/Event-Stream; charset=utf-8"}) {
+        HttpHeaders headers;
+        headers.add("content-type", type);
+        EXPECT_TRUE(isEventStream(headers)) << type;
+    }
+    HttpHeaders other;
+    EXPECT_FALSE(isEventStream(other));
+    other.add("Content-Type", "text/event");
+    EXPECT_FALSE(isEventStream(other));
+}
+
 TEST(EventStreamScanner, streamIsInsideAnEventUntilItsEmptyLine)
 {
     EventStreamScanner scanner;
