A backend server that says in an answer that it leaves gets no new work from this entry

What callers would see: a backend server that leaves and never registers as draining went on getting requests until its registration lapsed, and could end with them. Running requests end as they are.

--- a/packages/decisions/include/lycheelanding/decisions/membership/backenddirectory.h
+++ b/packages/decisions/include/lycheelanding/decisions/membership/backenddirectory.h
@@ -55,6 +55,8 @@
     Unreadable,
     /// A later registration uses the same address.
     Replaced,
+    /// It has said in an answer that it leaves.
+    Leaving,
 };
 
 std::string_view nameOf(DirectoryReason reason);
@@ -87,6 +89,8 @@
     /// The key of `id` no longer holds a readable registration.
     DirectoryChanges unreadable(const BackendId &id, core::TimePoint now);
     DirectoryChanges removed(const BackendId &id, core::TimePoint now);
+    /// The backend server has said in an answer that it leaves. It gets no new work until a new incarnation registers.
+    DirectoryChanges leaving(const BackendId &id, core::TimePoint now);
     void registryLost();
     void registryRegained(core::TimePoint now);
     /// The registry has come back from an older copy. It may list backend servers that have left, and lack some that
@@ -109,6 +113,7 @@
     {
         std::uint64_t startedAtMs = 0;
         bool wasDraining = false;
+        bool hasSaidItLeaves = false;
         core::TimePoint at;
         /// The registry was restored since, so that its registration may be an old one.
         bool isDoubtful = false;
--- a/packages/decisions/src/membership/backenddirectory.cpp
+++ b/packages/decisions/src/membership/backenddirectory.cpp
@@ -10,13 +10,14 @@
 
 namespace {
 
-constexpr std::array<core::NameEntry<DirectoryReason>, 6> reasonNames{{
+constexpr std::array<core::NameEntry<DirectoryReason>, 7> reasonNames{{
     {DirectoryReason::Registered, "registered"},
     {DirectoryReason::Draining, "draining"},
     {DirectoryReason::Removed, "removed"},
     {DirectoryReason::Lapsed, "lapsed"},
     {DirectoryReason::Unreadable, "unreadable"},
     {DirectoryReason::Replaced, "replaced"},
+    {DirectoryReason::Leaving, "leaving"},
 }};
 
 /// Whether `known` registered at its address after `other`, which names the same one.
@@ -74,6 +75,13 @@
     return changes;
 }
 
+DirectoryChanges BackendDirectory::leaving(const BackendId &id, core::TimePoint now)
+{
+    DirectoryChanges changes;
+    removeMember(id, DirectoryReason::Leaving, now, changes);
+    return changes;
+}
+
 void BackendDirectory::registryLost()
 {
     m_isRegistryLost = true;
@@ -129,14 +137,14 @@
 bool BackendDirectory::isOfDeparted(const RegisteredBackend &backend, bool isWritten) const
 {
     const auto found = m_departed.find(backend.id);
-    if (found == m_departed.end() || !found->second.isDoubtful) {
+    if (found == m_departed.end() || (!found->second.isDoubtful && !found->second.hasSaidItLeaves)) {
         return false;
     }
     if (backend.startedAtMs > found->second.startedAtMs && found->second.startedAtMs > 0) {
         return false;
     }
     // A server that was only missing is back when it writes; one that drains does not become ready again.
-    return found->second.wasDraining || !isWritten;
+    return found->second.wasDraining || found->second.hasSaidItLeaves || !isWritten;
 }
 
 void BackendDirectory::forgetDeparted(core::TimePoint now)
@@ -149,10 +157,16 @@
 {
     if (backend.isDraining) {
         removeMember(backend.id, DirectoryReason::Draining, now, changes);
-        m_departed.insert_or_assign(backend.id, Departed{backend.startedAtMs, true, now, false});
+        auto &departed = m_departed[backend.id];
+        departed = {backend.startedAtMs, true, departed.hasSaidItLeaves, now, false};
+        return;
+    }
+    if (isOfDeparted(backend, isWritten)) {
+        // It is remembered for as long as it registers.
+        m_departed[backend.id].at = now;
         return;
     }
-    if (isOfDeparted(backend, isWritten) || !replaceAtAddress(backend, now, changes)) {
+    if (!replaceAtAddress(backend, now, changes)) {
         return;
     }
     m_departed.erase(backend.id);
@@ -212,8 +226,9 @@
     if (found == m_members.end()) {
         return;
     }
-    m_departed.insert_or_assign(
-        id, Departed{found->second.backend.startedAtMs, reason == DirectoryReason::Draining, now, false});
+    m_departed.insert_or_assign(id,
+                                Departed{found->second.backend.startedAtMs, reason == DirectoryReason::Draining,
+                                         reason == DirectoryReason::Leaving, now, false});
     m_members.erase(found);
     changes.emplace_back(BackendUnusable{id, reason});
 }
--- a/packages/decisions/tests/membership/backenddirectorytest.cpp
+++ b/packages/decisions/tests/membership/backenddirectorytest.cpp
@@ -75,6 +75,31 @@
     EXPECT_EQ(directory.registered(ready, start + 3s).size(), 1U);
 }
 
+// Some backend servers say only in their answers that they leave; their registration stays ready.
+TEST(BackendDirectory, backendThatSaidItLeavesStaysUnusableWhateverItsRegistrationSays)
+{
+    BackendDirectory directory({});
+    auto backend = backendNamed("a");
+    backend.startedAtMs = 1000;
+    directory.listed({backend}, start);
+    EXPECT_TRUE(isUnusable(directory.leaving(backend.id, start), "a", DirectoryReason::Leaving));
+    EXPECT_TRUE(directory.leaving(backend.id, start).empty());
+    // Heartbeats for longer than a backend server that has left is remembered.
+    for (auto now = start + 1s; now < start + 5min; now += 1s) {
+        ++backend.revision;
+        ASSERT_TRUE(directory.registered(backend, now).empty());
+        directory.tick(now);
+    }
+    EXPECT_TRUE(directory.listed({backend}, start + 5min).empty());
+    directory.registryRestored(start + 5min);
+    EXPECT_TRUE(directory.listed({backend}, start + 5min).empty());
+    EXPECT_EQ(directory.usableCount(), 0U);
+
+    backend.startedAtMs = 2000;
+    EXPECT_EQ(directory.registered(backend, start + 5min).size(), 1U);
+    EXPECT_EQ(directory.usableCount(), 1U);
+}
+
 TEST(BackendDirectory, removedBackendGetsNoWorkUntilItRegistersInTheRestoredRegistry)
 {
     BackendDirectory directory({});
--- a/packages/forwarding/include/lycheelanding/forwarding/answerclass.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/answerclass.h
@@ -28,6 +28,9 @@
 /// Whether the answer belongs to the attempt; an answer that names no attempt counts as belonging to it.
 bool isAnswerTo(const http::AnswerHead &head, const FieldNames &names, std::string_view attempt);
 
+/// Whether the answer says that its backend server leaves.
+bool isLeaving(const http::AnswerHead &head, const FieldNames &names);
+
 /// The error of an attempt whose answer is not passed on, for every class but Valid.
 core::Error errorOf(AnswerClass answerClass, const std::string &backendName);
 
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -55,6 +55,8 @@
     const RouteTablePointer &routes() const { return m_routes; }
     report::Metrics &metrics() { return m_metrics; }
     PromptGuard &prompts() { return m_prompts; }
+    /// Sets the handler that is called when a backend server has said in an answer that it leaves.
+    void setLeavingHandler(std::function<void(const BackendId &)> handler) { m_onLeaving = std::move(handler); }
 
 private:
     void handleRequest(const http::HttpExchangePointer &exchange);
@@ -63,6 +65,7 @@
     void handleReadiness(const http::HttpExchangePointer &exchange);
     std::vector<std::shared_ptr<ForwardedExchange>> resumableStreams() const;
     void cancelHeldAttempts();
+    void backendLeaves(const BackendId &id);
     void execute(const decisions::membership::EntryDrainActions &actions);
     void tickDrain();
 
@@ -78,6 +81,8 @@
     AttemptId m_lastAttempt;
     std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> m_resumableStreams;
     PromptGuard m_prompts;
+    std::function<void(const BackendId &)> m_onLeaving;
+    const std::function<void(const BackendId &)> m_backendLeaves;
     RouteTablePointer m_routes;
     bool m_hasBackendList = false;
     /// Requests that arrived before the configuration and the backend servers were known.
--- a/packages/forwarding/include/lycheelanding/forwarding/fieldnames.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/fieldnames.h
@@ -28,6 +28,8 @@
     /// Parts of the prompt in their order, as a comma-separated list of id and number of tokens, separated by a colon.
     /// The last part belongs to the request alone.
     std::string promptParts;
+    /// In an answer: states that the backend server leaves.
+    std::string leaving;
 };
 
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -45,6 +45,8 @@
     /// Id of the last attempt of the process; each attempt increments it.
     AttemptId &lastAttempt;
     PromptGuard &prompts;
+    /// Called when a backend server has said in an answer that it leaves.
+    const std::function<void(const BackendId &)> &onLeaving;
     /// Requests with a stream that another backend server can resume.
     std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> &resumableStreams;
 };
--- a/packages/forwarding/src/answerclass.cpp
+++ b/packages/forwarding/src/answerclass.cpp
@@ -49,6 +49,11 @@
     return !named || *named == attempt;
 }
 
+bool isLeaving(const http::AnswerHead &head, const FieldNames &names)
+{
+    return head.headers.find(names.leaving) == "1";
+}
+
 core::Error errorOf(AnswerClass answerClass, const std::string &backendName)
 {
     switch (answerClass) {
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -39,7 +39,8 @@
       m_backends(m_settings.dataCentre, core::stableHash(m_settings.processName)),
       m_retries(m_settings.retryBudget, core::stableHash(m_settings.processName)), m_pool(idleConnectionTimeout),
       m_prompts(context, core::stableHash(m_settings.processName), m_log, m_metrics, [this] { cancelHeldAttempts(); }),
-      m_earlyTimer(context), m_drain(m_settings.drain), m_drainTimer(context),
+      m_backendLeaves([this](const BackendId &id) { backendLeaves(id); }), m_earlyTimer(context),
+      m_drain(m_settings.drain), m_drainTimer(context),
       m_callerServer(context, serverSettings(m_settings.callerEndpoint, m_settings.maxConnections),
                      [this](const auto &exchange) { handleRequest(exchange); }),
       m_readinessServer(context, serverSettings(m_settings.readinessEndpoint, m_settings.maxConnections),
@@ -167,9 +168,9 @@
 
 void EntryServer::forward(const http::HttpExchangePointer &exchange)
 {
-    const ForwardingResources resources{
-        m_context, m_settings.names, m_backends, m_retries,         m_pool, m_log, m_metrics,
-        m_waiting, m_lastAttempt,    m_prompts,  m_resumableStreams};
+    const ForwardingResources resources{m_context,       m_settings.names,  m_backends, m_retries,     m_pool,
+                                        m_log,           m_metrics,         m_waiting,  m_lastAttempt, m_prompts,
+                                        m_backendLeaves, m_resumableStreams};
     const auto onFinished = [this] {
         execute(m_drain.requestFinished(m_clock.now()));
         sendWaitingRequests();
@@ -203,6 +204,17 @@
     }
 }
 
+void EntryServer::backendLeaves(const BackendId &id)
+{
+    if (!m_backends.find(id)) {
+        return;
+    }
+    applyBackendChanges({decisions::membership::BackendUnusable{id, decisions::membership::DirectoryReason::Leaving}});
+    if (m_onLeaving) {
+        m_onLeaving(id);
+    }
+}
+
 void EntryServer::stop(std::function<void()> onStopped)
 {
     m_onStopped = std::move(onStopped);
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -263,6 +263,10 @@
     m_framing = head.framing;
     m_attempt->answerClass = classifyAnswer(head, m_resources.names);
     m_attempt->head = std::move(head);
+    // A misdirected answer comes from another backend server.
+    if (m_attempt->answerClass != AnswerClass::Misdirected && isLeaving(m_attempt->head, m_resources.names)) {
+        m_resources.onLeaving(m_attempt->backend.id);
+    }
     if (m_attempt->answerClass == AnswerClass::Valid && !m_answer.canContinueWith(m_attempt->head)) {
         m_attempt->answerClass = AnswerClass::Invalid;
     }
--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -150,6 +150,7 @@
         : m_log(logDescriptor, "entry"), m_entry(m_context, settings(), m_log)
     {
         isStarted = core::isOk(m_entry.start());
+        m_entry.setLeavingHandler([this](const BackendId &id) { reportedLeaving.push_back(id); });
     }
 
     void configure(RouteKind kind, std::chrono::milliseconds timeout = std::chrono::seconds(10),
@@ -232,6 +233,8 @@
     EventLog &log() { return m_log; }
 
     bool isStarted = false;
+    /// Backend servers of which the entry has reported that they leave.
+    std::vector<BackendId> reportedLeaving;
 
 private:
     void sendStatusUpdates()
@@ -259,6 +262,7 @@
         settings.names.tokens = "Tokens";
         settings.names.lengthHint = "Hint";
         settings.names.promptParts = "Parts";
+        settings.names.leaving = "Leaving";
         return settings;
     }
 
