--- a/packages/decisions/src/quarantine/promptquarantine.cpp
+++ b/packages/decisions/src/quarantine/promptquarantine.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// Bound the memory. Several backend servers may crash at once under requests that are already there.
+/// Bounds on the memory of a suspected part. Several backend servers may crash at once under requests that are already
+/// there.
 constexpr std::size_t maxCrashesPerPart = 32;
 constexpr std::size_t maxOthersPerCrash = 8;
 
--- a/packages/decisions/tests/quarantine/crashingpromptstest.cpp
+++ b/packages/decisions/tests/quarantine/crashingpromptstest.cpp
@@ -224,7 +224,7 @@
 
 } // namespace
 
-// Incident second1: each entry saw few of the crashes, and together they ended 16 backend servers.
+// Each entry saw few of the crashes, so that together they went on ending backend servers.
 TEST(CrashingPrompts, fleetStopsSendingThemWithinTheBound)
 {
     for (const std::size_t entries : {1U, 4U, 14U, 60U}) {
--- a/packages/forwarding/tests/brokenstreamstest.cpp
+++ b/packages/forwarding/tests/brokenstreamstest.cpp
@@ -271,7 +271,7 @@
     EXPECT_FALSE(stream.answer.ends_with(lastChunk));
 }
 
-// Incident inc1: the end of the connection was taken for the end of the answer.
+// A crash closes the connection like the end of an unframed answer, and callers got the broken-off stream as complete.
 TEST(BrokenStreams, unframedStreamThatEndsInsideAnEventIsResumed)
 {
     const StreamSimulation stream({firstUnframedHead + event(1) + event(2) + "id: 3\nda", true},
--- a/packages/forwarding/tests/crashingrequeststest.cpp
+++ b/packages/forwarding/tests/crashingrequeststest.cpp
@@ -75,7 +75,7 @@
 
 } // namespace
 
-// Incident second1: requests with one part in their prompts ended one backend server after the other, new requests and
+// Requests with one part in their prompts ended one backend server after the other, new requests and
 // retries alike.
 TEST(CrashingRequests, backendsAreNotEndedOneAfterTheOther)
 {
--- a/packages/forwarding/tests/requestlogdiagnosistest.cpp
+++ b/packages/forwarding/tests/requestlogdiagnosistest.cpp
@@ -129,7 +129,7 @@
     EXPECT_EQ(numberIn(requestOver, "waitedMs"), numberIn(requestOver, "ms")) << requestOver;
 }
 
-// Incident inc1: an answer that was cut off and passed on as complete could not be told from a complete one.
+// An answer that was cut off and passed on as complete could not be told from a complete one.
 TEST(RequestLogDiagnosis, answerLogsHowItsEndWasMarked)
 {
     LogPipe pipe;
@@ -144,7 +144,7 @@
     EXPECT_TRUE(contains(requestOver, "\"framing\":\"connectionEnd\"")) << requestOver;
 }
 
-// Incident second1: lost attempts with a common part in their prompts could not be told from others.
+// Lost attempts with a common part in their prompts could not be told from others.
 TEST(RequestLogDiagnosis, retryLogsTheSharedPartsOfThePrompt)
 {
     LogPipe pipe;
--- a/packages/http/tests/httpclienttest.cpp
+++ b/packages/http/tests/httpclienttest.cpp
@@ -50,6 +50,19 @@
     exchange->respond(jsonResponse(201, exchange->request().method + exchange->request().body));
 }
 
+/// Fetches an answer of these bytes, after which the server closes the connection.
+core::Result<HttpResponse> fetchUnframed(const std::string &bytes)
+{
+    RawListener listener;
+    HttpClient client;
+    auto result = std::async(std::launch::async, [&] { return client.fetchAndWait(getRequest(listener.url())); });
+    auto socket = listener.accept();
+    readRequest(socket, 0);
+    asio::write(socket, asio::buffer(bytes));
+    socket.close();
+    return result.get();
+}
+
 ErrorKind kindOf(const core::Result<HttpResponse> &result)
 {
     return core::errorOf(result).kind;
@@ -152,19 +165,13 @@
     }
 }
 
-// Incident inc1 on the path over a side: the end of the connection was taken for the end of the event stream.
+// A crash closes the connection like the end of the event stream, and its callers got half an event as a complete
+// answer.
 TEST(HttpClient, unframedEventStreamThatEndsInsideAnEventIsLost)
 {
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream; charset=utf-8\r\n\r\n";
     for (const std::string events : {"", "id: 1\n", "data: a\n\ndata: b", "data: a\r\n\r\ndata: b\r\n"}) {
-        RawListener listener;
-        HttpClient client;
-        auto result = std::async(std::launch::async, [&] { return client.fetchAndWait(getRequest(listener.url())); });
-        auto socket = listener.accept();
-        readRequest(socket, 0);
-        asio::write(socket, asio::buffer(head + events));
-        socket.close();
-        const auto answer = result.get();
+        const auto answer = fetchUnframed(head + events);
         ASSERT_FALSE(core::isOk(answer)) << events;
         EXPECT_EQ(kindOf(answer), ErrorKind::BackendServerLost);
     }
@@ -174,14 +181,7 @@
 {
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
     for (const std::string events : {"data: a\n\n", "data: a\r\n\r\n", "data: a\r\r", "data: a\n\n: comment\n"}) {
-        RawListener listener;
-        HttpClient client;
-        auto result = std::async(std::launch::async, [&] { return client.fetchAndWait(getRequest(listener.url())); });
-        auto socket = listener.accept();
-        readRequest(socket, 0);
-        asio::write(socket, asio::buffer(head + events));
-        socket.close();
-        const auto answer = result.get();
+        const auto answer = fetchUnframed(head + events);
         ASSERT_TRUE(core::isOk(answer)) << events;
         EXPECT_EQ(core::valueOf(answer).body, events);
     }
--- a/packages/http/tests/httpservertest.cpp
+++ b/packages/http/tests/httpservertest.cpp
@@ -179,7 +179,7 @@
     EXPECT_EQ(stream.find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
-// Incident inc1 towards callers: an answer to HTTP/1.0 ends with its connection, so one that was broken off looked
+// An answer to HTTP/1.0 ends with its connection, so one that was broken off looked
 // complete.
 TEST(HttpServer, abortedAnswerToAnHttp10CallerIsReset)
 {
--- a/packages/rankgroups/tests/crashnoticestest.cpp
+++ b/packages/rankgroups/tests/crashnoticestest.cpp
@@ -91,7 +91,7 @@
     }
 }
 
-// Incident second1: no entry alone sees enough of the crashes, and entries don't know each other's addresses.
+// No entry alone sees enough of the crashes, and entries do not know each other's addresses.
 TEST(CrashNotices, sideRelaysThemBetweenEntries)
 {
     asio::io_context context{1};
