--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -2,78 +2,23 @@
 
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/decisions/attempts/requestattempts.h"
-#include "lycheelanding/forwarding/answerclass.h"
-#include "lycheelanding/forwarding/backendset.h"
+#include "lycheelanding/forwarding/backendattempt.h"
 #include "lycheelanding/forwarding/calleranswer.h"
-#include "lycheelanding/forwarding/eventlog.h"
-#include "lycheelanding/forwarding/forwardedfields.h"
-#include "lycheelanding/forwarding/promptguard.h"
-#include "lycheelanding/forwarding/requestlog.h"
-#include "lycheelanding/forwarding/retrybudgets.h"
-#include "lycheelanding/forwarding/routetable.h"
-#include "lycheelanding/forwarding/waitingrequests.h"
+#include "lycheelanding/forwarding/forwardingresources.h"
+#include "lycheelanding/forwarding/requestterms.h"
 #include "lycheelanding/forwarding/waitlimits.h"
-#include "lycheelanding/http/connectionpool.h"
 #include "lycheelanding/http/httpserver.h"
 #include "lycheelanding/report/answertimes.h"
-#include "lycheelanding/report/metrics.h"
 
-#include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace lycheelanding::forwarding {
 
-class ForwardedExchange;
-
-/// Resources that all requests of an entry share. Used on one thread.
-struct ForwardingResources
-{
-    asio::io_context &context;
-    const FieldNames &names;
-    BackendSet &backends;
-    RetryBudgets &retries;
-    http::ConnectionPool &pool;
-    EventLog &log;
-    report::Metrics &metrics;
-    WaitingRequests<ForwardedExchange> &waiting;
-    /// Id of the last attempt of the process; each attempt increments it.
-    AttemptId &lastAttempt;
-    PromptGuard &prompts;
-    /// Called when a backend server has said in an answer that it leaves.
-    const std::function<void(const BackendId &)> &onLeaving;
-    /// Requests with a stream that another backend server can resume.
-    std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> &resumableStreams;
-};
-
-/// A place at a backend server that an attempt takes.
-struct ReservedBackend
-{
-    AttemptId attempt;
-    ChosenBackend backend;
-};
-
-/// One attempt at one backend server.
-struct ForwardedAttempt
-{
-    decisions::attempts::AttemptNumber number;
-    AttemptId id;
-    ChosenBackend backend;
-    http::ClientConnectionPointer connection;
-    core::TimePoint startedAt;
-    AnswerClass answerClass = AnswerClass::Valid;
-    http::AnswerHead head;
-    /// Parts of the body that have arrived.
-    std::size_t bodyParts = 0;
-    /// Whether the backend server has shown that it does not crash when it begins the answer.
-    bool hasProgressed = false;
-};
-
 /// One request of a caller, from its arrival to its answer. RequestAttempts decides what may be sent again and what an
 /// error answer may state; this class executes these decisions on connections.
 class ForwardedExchange : public std::enable_shared_from_this<ForwardedExchange>
@@ -94,21 +39,19 @@
     void cancelHeldAttempt();
     bool isFinished() const { return m_isFinished; }
     core::TimePoint waitDeadline() const { return m_limits.waitDeadline; }
-    const core::ServiceId &service() const { return m_service; }
-    std::uint32_t priority() const { return m_priority; }
+    const core::ServiceId &service() const { return m_terms.service; }
+    std::uint32_t priority() const { return m_terms.priority; }
     /// Whether its answer can no longer begin within the target latency.
     bool isLate(core::TimePoint time) const { return time >= m_limits.lateSince; }
 
 private:
     using AttemptNumber = decisions::attempts::AttemptNumber;
 
-    core::Result<const Route *> findRoute();
     void startTimer();
     void startAttempt();
     /// Gives up the request if its prompt is held; returns whether it was.
     bool giveUpHeldPrompt();
     std::optional<core::Error> heldPromptError() const;
-    void reportCrashSuspicion();
     std::optional<ReservedBackend> reserveReplacement(const core::Error &error, core::Duration inactivity);
     std::optional<RetryDenial> retryDenial() const;
     decisions::retry::FailedAttempt failedAttempt(const core::Error &error, core::Ran ran) const;
@@ -116,17 +59,15 @@
     std::optional<ReservedBackend> reserveBackend(const BackendRequirements &request);
     BackendRequirements backendRequirements() const;
     void beginAttempt(const ReservedBackend &reserved);
-    void openConnection();
     void onConnected(AttemptNumber attempt, const core::Status &status);
     http::AnswerHandlers answerHandlers(AttemptNumber attempt);
-    bool isCurrent(AttemptNumber attempt) const { return m_attempt && m_attempt->number == attempt; }
+    bool isCurrent(AttemptNumber attempt) const { return m_attempt && m_attempt->number() == attempt; }
 
     void onHead(AttemptNumber attempt, http::AnswerHead head);
     void onBody(AttemptNumber attempt, std::string_view bytes);
     void onEnd(AttemptNumber attempt, bool isReusable);
     void onFailed(AttemptNumber attempt, const core::Error &error);
     void recordEvent();
-    void recordProgress();
     void finishAnswer();
 
     void onTimeout();
@@ -154,18 +95,11 @@
     RequestLog m_log;
     asio::steady_timer m_timer;
     asio::steady_timer m_retryTimer;
-    const Route *m_route = nullptr;
-    core::ServiceId m_service;
-    core::OrganisationId m_organisation;
     std::string m_attemptName;
-    TokenCounts m_tokens;
-    decisions::quarantine::PromptParts m_promptParts;
-    core::TimePoint m_deadline;
-    TimeLimitSource m_deadlineSource = TimeLimitSource::Route;
+    RequestTerms m_terms;
     WaitLimits m_limits;
-    std::uint32_t m_priority = 0;
     std::optional<decisions::attempts::RequestAttempts> m_attempts;
-    std::optional<ForwardedAttempt> m_attempt;
+    std::optional<BackendAttempt> m_attempt;
     /// For the attempt that replaces an inactive one.
     std::optional<ReservedBackend> m_replacement;
     std::vector<BackendId> m_tried;
--- /dev/null
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardingresources.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "lycheelanding/forwarding/backendset.h"
+#include "lycheelanding/forwarding/eventlog.h"
+#include "lycheelanding/forwarding/fieldnames.h"
+#include "lycheelanding/forwarding/promptguard.h"
+#include "lycheelanding/forwarding/retrybudgets.h"
+#include "lycheelanding/forwarding/waitingrequests.h"
+#include "lycheelanding/http/connectionpool.h"
+#include "lycheelanding/report/metrics.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace lycheelanding::forwarding {
+
+class ForwardedExchange;
+
+/// Resources that all requests of an entry share. Used on one thread.
+struct ForwardingResources
+{
+    asio::io_context &context;
+    const FieldNames &names;
+    BackendSet &backends;
+    RetryBudgets &retries;
+    http::ConnectionPool &pool;
+    EventLog &log;
+    report::Metrics &metrics;
+    WaitingRequests<ForwardedExchange> &waiting;
+    /// Id of the last attempt of the process; each attempt increments it.
+    AttemptId &lastAttempt;
+    PromptGuard &prompts;
+    /// Called when a backend server has said in an answer that it leaves.
+    const std::function<void(const BackendId &)> &onLeaving;
+    /// Requests with a stream that another backend server can resume.
+    std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> &resumableStreams;
+};
+
+/// A place at a backend server that an attempt takes.
+struct ReservedBackend
+{
+    AttemptId attempt;
+    ChosenBackend backend;
+};
+
+} // namespace lycheelanding::forwarding
--- /dev/null
+++ b/packages/forwarding/src/backendattempt.cpp
@@ -0,0 +1,97 @@
+#include "lycheelanding/forwarding/backendattempt.h"
+
+#include <string>
+#include <utility>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+/// A backend server that crashes under a prompt may still send the first part of an answer to it.
+constexpr std::size_t minPartsOfProgress = 2;
+
+} // namespace
+
+BackendAttempt::BackendAttempt(const ForwardingResources &resources, decisions::attempts::AttemptNumber number,
+                               const ReservedBackend &reserved, core::TimePoint startedAt)
+    : m_resources(resources), m_number(number), m_reserved(reserved), m_startedAt(startedAt)
+{ }
+
+bool BackendAttempt::takeIdleConnection()
+{
+    m_connection = m_resources.pool.acquire(m_reserved.backend.endpoint);
+    return m_connection != nullptr;
+}
+
+void BackendAttempt::connect(std::chrono::milliseconds timeout, std::function<void(const core::Status &)> onConnected)
+{
+    m_resources.metrics.increment(report::Counter::ConnectionsOpened);
+    m_connection
+        = std::make_shared<http::ClientConnection>(m_resources.context.get_executor(), m_reserved.backend.endpoint);
+    m_connection->connect(timeout, std::move(onConnected));
+}
+
+void BackendAttempt::send(const http::HttpRequest &request, ForwardedFields fields, http::AnswerHandlers handlers)
+{
+    fields.expectedBackend = backend().text();
+    m_connection->send(forwardedRequest(request, fields, m_resources.names), request.method == "HEAD",
+                       std::move(handlers));
+}
+
+void BackendAttempt::recordHead(http::AnswerHead head)
+{
+    m_answerClass = classifyAnswer(head, m_resources.names);
+    m_head = std::move(head);
+    // A misdirected answer comes from another backend server.
+    if (m_answerClass != AnswerClass::Misdirected && isLeaving(m_head, m_resources.names)) {
+        m_resources.onLeaving(backend());
+    }
+}
+
+void BackendAttempt::recordBodyPart(std::uint64_t promptTokens, std::optional<core::Duration> interval,
+                                    core::TimePoint now)
+{
+    ++m_bodyParts;
+    if (m_bodyParts == 1) {
+        m_resources.backends.recordFirstEvent(m_reserved.attempt, promptTokens, now);
+    } else if (interval) {
+        m_resources.backends.recordNextEvent(m_reserved.attempt, *interval, now);
+    }
+}
+
+void BackendAttempt::recordProgress(std::size_t parts, const decisions::quarantine::PromptParts &promptParts)
+{
+    if (!m_hasProgressed && parts >= minPartsOfProgress) {
+        m_hasProgressed = true;
+        m_resources.prompts.answerProgressed(promptParts);
+    }
+}
+
+void BackendAttempt::reportCrashSuspicion(const decisions::quarantine::PromptParts &promptParts)
+{
+    const auto registered = m_resources.backends.find(backend());
+    if (!registered || m_hasProgressed) {
+        return;
+    }
+    // A backend server may start again under its id.
+    const auto incarnation = registered->id.text() + "@" + std::to_string(registered->startedAtMs);
+    m_resources.prompts.attemptLost({incarnation, m_reserved.backend.endpoint, promptParts});
+}
+
+void BackendAttempt::releaseConnection()
+{
+    if (m_resources.backends.isInUse(m_reserved.backend.endpoint)) {
+        m_resources.pool.release(m_connection);
+        m_connection.reset();
+    }
+}
+
+void BackendAttempt::end(Outcome outcome, core::TimePoint now)
+{
+    m_resources.backends.recordAttemptEnd(m_reserved.attempt, outcome, now);
+    if (m_connection) {
+        m_connection->close();
+    }
+}
+
+} // namespace lycheelanding::forwarding
