--- /dev/null
+++ b/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "lycheelanding/core/clock.h"
+#include "lycheelanding/decisions/membership/backenddirectory.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+
+/// What backend servers say in their answers about the requests that they take.
+namespace lycheelanding::decisions::intake {
+
+using membership::BackendId;
+
+enum class LimitChange : std::uint8_t {
+    None,
+    /// The backend server has stated a limit for the first time, or another one than before.
+    Stated,
+    /// It no longer states one.
+    Ended,
+};
+
+/// A limit that has ended.
+struct EndedLimit
+{
+    core::Duration duration{};
+    /// Requests that this entry sent meanwhile.
+    std::uint64_t sent = 0;
+};
+
+/// The limits of requests per second that backend servers state, as one entry knows them. A limit holds from the answer
+/// that states it until an answer without one, to a request that was sent after the last answer that stated it: answers
+/// on several connections overtake each other.
+class BackendIntake
+{
+public:
+    LimitChange limitStated(const BackendId &id, double perSecond, core::TimePoint now);
+    /// An answer states no limit; `sentAt`: when its request was sent.
+    std::optional<EndedLimit> noLimitStated(const BackendId &id, core::TimePoint sentAt, core::TimePoint now);
+    /// Whether an unreadable limit is to be reported now; the limit before remains in force.
+    bool limitUnreadable(const BackendId &id, core::TimePoint now);
+    void recordSent(const BackendId &id);
+    /// Forgets what the backend server has said: it is gone, or another incarnation.
+    void remove(const BackendId &id);
+
+    /// Requests per second from all entries together.
+    std::optional<double> limitOf(const BackendId &id) const;
+    std::size_t limitedCount() const { return m_limits.size(); }
+
+private:
+    struct Limit
+    {
+        double perSecond = 0.0;
+        core::TimePoint since;
+        core::TimePoint lastStated;
+        std::uint64_t sent = 0;
+    };
+
+    std::map<BackendId, Limit> m_limits;
+    std::map<BackendId, core::TimePoint> m_unreadableReports;
+};
+
+} // namespace lycheelanding::decisions::intake
--- a/packages/forwarding/include/lycheelanding/forwarding/answerclass.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/answerclass.h
@@ -5,7 +5,9 @@
 #include "lycheelanding/http/clientconnection.h"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
+#include <variant>
 
 namespace lycheelanding::forwarding {
 
@@ -31,6 +33,15 @@
 /// Whether the answer says that its backend server leaves.
 bool isLeaving(const http::AnswerHead &head, const FieldNames &names);
 
+/// Whether the class of an answer shows that it comes from the backend server that the request was sent to.
+bool isOwnAnswer(AnswerClass answerClass);
+
+/// Requests per second, or std::monostate if the field's text is no such number.
+using RequestLimit = std::variant<std::monostate, double>;
+
+/// The limit of requests that the answer states; nullopt if it states none.
+std::optional<RequestLimit> statedLimit(const http::AnswerHead &head, const FieldNames &names);
+
 /// The error of an attempt whose answer is not passed on, for every class but Valid.
 core::Error errorOf(AnswerClass answerClass, const std::string &backendName);
 
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -2,6 +2,7 @@
 
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/core/result.h"
+#include "lycheelanding/decisions/intake/backendintake.h"
 #include "lycheelanding/decisions/membership/backenddirectory.h"
 #include "lycheelanding/decisions/routing/backendselector.h"
 #include "lycheelanding/forwarding/forwardingconfiguration.h"
@@ -89,6 +90,9 @@
     void recordNextEvent(AttemptId attempt, core::Duration interval, core::TimePoint now);
     void recordAttemptEnd(AttemptId attempt, Outcome outcome, core::TimePoint now);
 
+    /// What backend servers say about the requests that they take.
+    decisions::intake::BackendIntake &intake() { return m_intake; }
+
     std::optional<RegisteredBackend> find(const BackendId &id) const;
     const std::map<BackendId, RegisteredBackend> &all() const { return m_backends; }
     /// Whether a usable backend server has this endpoint.
@@ -125,6 +129,7 @@
     std::map<core::GroupId, core::TimePoint> m_groupEvents;
     std::map<AttemptId, BackendId> m_attempts;
     decisions::routing::BackendSelector m_selector;
+    decisions::intake::BackendIntake m_intake;
 };
 
 /// Parses an endpoint of the form `IPv4 address:port`.
--- a/packages/forwarding/include/lycheelanding/forwarding/fieldnames.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/fieldnames.h
@@ -30,6 +30,8 @@
     std::string promptParts;
     /// In an answer: states that the backend server leaves.
     std::string leaving;
+    /// In an answer: requests per second that the backend server takes from all entries together, a decimal number.
+    std::string requestLimit;
 };
 
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/src/answerclass.cpp
+++ b/packages/forwarding/src/answerclass.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <cmath>
 
 namespace lycheelanding::forwarding {
 
@@ -54,6 +56,24 @@
     return head.headers.find(names.leaving) == "1";
 }
 
+bool isOwnAnswer(AnswerClass answerClass)
+{
+    return answerClass != AnswerClass::Misdirected && answerClass != AnswerClass::Invalid;
+}
+
+std::optional<RequestLimit> statedLimit(const http::AnswerHead &head, const FieldNames &names)
+{
+    const auto text = head.headers.find(names.requestLimit);
+    if (!text) {
+        return std::nullopt;
+    }
+    double number = 0.0;
+    const char *const last = text->data() + text->size();
+    const auto [end, error] = std::from_chars(text->data(), last, number);
+    const bool isLimit = error == std::errc() && end == last && std::isfinite(number) && number >= 0.0;
+    return isLimit ? RequestLimit(number) : RequestLimit();
+}
+
 core::Error errorOf(AnswerClass answerClass, const std::string &backendName)
 {
     switch (answerClass) {
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -84,9 +84,14 @@
             m_backends.erase(unusable->id);
             m_endpoints.erase(unusable->id);
             m_states.erase(unusable->id);
+            m_intake.remove(unusable->id);
             continue;
         }
         const auto &backend = std::get<BackendUsable>(change).backend;
+        const auto known = m_backends.find(backend.id);
+        if (known != m_backends.end() && known->second.startedAtMs != backend.startedAtMs) {
+            m_intake.remove(backend.id);
+        }
         m_backends.erase(backend.id);
         m_endpoints.erase(backend.id);
         if (const auto endpoint = endpointFrom(backend.address)) {
@@ -243,6 +248,7 @@
     const BackendId id(choice.vm.text());
     m_selector.requestSent(attempt, choice, request.expectedTokens, now);
     m_attempts[attempt] = id;
+    m_intake.recordSent(id);
     return ChosenBackend{id, m_endpoints.at(id), choice};
 }
 
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -207,7 +207,7 @@
         return;
     }
     m_framing = head.framing;
-    m_attempt->recordHead(std::move(head));
+    m_attempt->recordHead(std::move(head), now());
     if (m_attempt->answerClass() == AnswerClass::Valid && !m_answer.canContinueWith(m_attempt->head())) {
         m_attempt->rejectAnswer();
     }
--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -20,6 +20,7 @@
     RetriesDeniedByBudget,
     BackendCrashes,
     PromptsHeld,
+    BackendLimitsStated,
     // Answers between processes
     AnswersComplete,
     AnswersBroken,
--- a/packages/report/src/counters.cpp
+++ b/packages/report/src/counters.cpp
@@ -38,6 +38,8 @@
     {Counter::RetriesDeniedByBudget, {"retries_denied_by_budget", "Retries not sent for lack of retry budget"}},
     {Counter::BackendCrashes, {"backend_crashes", "Attempts lost before their answer as the backend server crashed"}},
     {Counter::PromptsHeld, {"prompts_held", "Parts of prompts whose requests began to be held"}},
+    {Counter::BackendLimitsStated,
+     {"backend_limits_stated", "Limits of requests that backend servers began to state, or changed"}},
     {Counter::AnswersComplete, {"answers_complete", "Answers with final frame, chunk count and checksum in order"}},
     {Counter::AnswersBroken, {"answers_broken", "Answers that ended without their final frame"}},
     {Counter::FramesOfUnknownRequests, {"frames_of_unknown_requests", "Frames dropped as their request is unknown"}},
