--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -263,6 +263,7 @@
         settings.names.lengthHint = "Hint";
         settings.names.promptParts = "Parts";
         settings.names.leaving = "Leaving";
+        settings.names.requestLimit = "Limit";
         return settings;
     }
 
--- /dev/null
+++ b/packages/forwarding/tests/limitedbackendstest.cpp
@@ -0,0 +1,119 @@
+#include "entrysimulation.h"
+#include "limitedfleet.h"
+
+#include <gtest/gtest.h>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int requestCount = 10;
+/// So low that it allows one request during the test.
+const std::string lowLimit = "Limit: 0.001\r\n";
+
+/// Two backend servers; the one that gets the first request answers as the test says.
+struct LimitedSimulation
+{
+    explicit LimitedSimulation(const std::string &answer)
+    {
+        simulation.configure(RouteKind::Idempotent);
+        for (int number = 1; number <= 2; ++number) {
+            simulation.addBackend([this, answer, number](const std::string &) {
+                limited = limited == 0 ? number : limited;
+                limitedRequests += limited == number ? 1 : 0;
+                return ScriptedResponse{limited == number ? answer : backendAnswer("sound")};
+            });
+        }
+        for (int request = 0; request < requestCount; ++request) {
+            const auto text = simulation.exchange(callerRequest("GET"));
+            answered += text.starts_with("HTTP/1.1 200 ") ? 1 : 0;
+        }
+    }
+
+    EntrySimulation simulation;
+    int limited = 0;
+    int limitedRequests = 0;
+    int answered = 0;
+};
+
+std::string answerWith(const std::string &fields)
+{
+    return backendAnswer("few", "Proof: p\r\nAttempt: 77\r\n" + fields);
+}
+
+} // namespace
+
+// A backend server that says in its answers how many requests a second it takes got as many as before.
+TEST(LimitedBackends, backendThatStatesALimitGetsNoMoreThanThat)
+{
+    const std::string fields = "Proof: p\r\nAttempt: 77\r\n" + lowLimit + "Content-Length: 0\r\n\r\n";
+    for (const auto &answer : {answerWith(lowLimit), "HTTP/1.1 500 Internal Server Error\r\n" + fields,
+                               "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + fields}) {
+        const LimitedSimulation entry(answer);
+        EXPECT_EQ(entry.limitedRequests, 1) << answer;
+        EXPECT_EQ(entry.answered, requestCount) << answer;
+    }
+}
+
+// Each entry kept sending as much as its load balancing chose; a limit that is stated is for all entries together.
+TEST(LimitedBackends, entriesTogetherKeepToAStatedLimit)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        LimitedFleetOptions options;
+        options.seed = seed;
+        const LimitedFleet fleet(options);
+        EXPECT_LE(fleet.largestExcess(), 0.0) << "seed " << seed;
+        EXPECT_EQ(fleet.refused, 0U) << "the other backend servers have the capacity";
+    }
+}
+
+// The same where a whole service is limited, and requests wait at every entry for their turn.
+TEST(LimitedBackends, entriesTogetherKeepToTheLimitsOfAWholeService)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        LimitedFleetOptions options;
+        options.limitedBackends = options.backends;
+        options.limit = 1.0;
+        options.seed = seed;
+        const LimitedFleet fleet(options);
+        EXPECT_LE(fleet.largestExcess(), 0.0) << "seed " << seed;
+    }
+}
+
+// The same with so many entries that one request from each of them would be too many.
+TEST(LimitedBackends, manyEntriesTogetherKeepToASmallLimit)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        LimitedFleetOptions options;
+        options.backends = 8;
+        options.limitedBackends = 8;
+        options.limit = 0.5;
+        options.arrivals.assign(22, 2.0);
+        options.quietFrom = 12s;
+        options.quietFor = 4s;
+        options.seed = seed;
+        const LimitedFleet fleet(options);
+        EXPECT_LE(fleet.largestExcess(), 0.0) << "seed " << seed;
+    }
+}
+
+// The same after a time without requests, in which no entry has used its part of the limit.
+TEST(LimitedBackends, burstAfterAQuietTimeKeepsToTheLimit)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        LimitedFleetOptions options;
+        options.limitedBackends = options.backends;
+        options.limit = 1.0;
+        options.arrivals.assign(8, 12.0);
+        options.limitedFor = 30s;
+        options.quietFrom = 12s;
+        options.quietFor = 10s;
+        options.seed = seed;
+        const LimitedFleet fleet(options);
+        EXPECT_LE(fleet.largestExcess(), 0.0) << "seed " << seed;
+    }
+}
+
+} // namespace lycheelanding::forwarding
