Entries keep to the limits that backend servers state, each to its share of them

Cause: no code read the field, so the entries chose by load alone; each alone sent more than its part, and one more than the whole limit. The class: what a backend server says in its answers about the work that it takes has no part in the choice, and a bound on the sum over all entries needs a share for each of them.

BackendIntake keeps what backend servers state (a limit holds until an answer without it to a request that was sent after the last one with it, since answers overtake each other). RateShare gives this entry turns: together the entries keep the rate even if all of them use their turns and reserves at once. Sides tell each entry its position among the entries; where the entries are too many to have one request in reserve each, only the first ones get turns, which differ by backend server.

Ruled out on the way (trial, reverted): random phases with turns that are lost when unused.

--- a/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheelanding/core/clock.h"
+#include "lycheelanding/decisions/intake/rateshare.h"
 #include "lycheelanding/decisions/membership/backenddirectory.h"
 
 #include <cstddef>
@@ -29,18 +30,23 @@
     std::uint64_t sent = 0;
 };
 
-/// The limits of requests per second that backend servers state, as one entry knows them. A limit holds from the answer
-/// that states it until an answer without one, to a request that was sent after the last answer that stated it: answers
-/// on several connections overtake each other.
+/// The limits of requests per second that backend servers state, as one entry knows them, and this entry's shares of
+/// them. A limit holds from the answer that states it until an answer without one, to a request that was sent after the
+/// last answer that stated it: answers on several connections overtake each other.
 class BackendIntake
 {
 public:
+    explicit BackendIntake(std::uint64_t seed);
+
+    void setPosition(const EntryPosition &position, core::TimePoint now);
     LimitChange limitStated(const BackendId &id, double perSecond, core::TimePoint now);
     /// An answer states no limit; `sentAt`: when its request was sent.
     std::optional<EndedLimit> noLimitStated(const BackendId &id, core::TimePoint sentAt, core::TimePoint now);
     /// Whether an unreadable limit is to be reported now; the limit before remains in force.
     bool limitUnreadable(const BackendId &id, core::TimePoint now);
-    void recordSent(const BackendId &id);
+    /// Whether the backend server's limit allows this entry a request now.
+    bool mayReceive(const BackendId &id, core::TimePoint now) const;
+    void recordSent(const BackendId &id, core::TimePoint now);
     /// Forgets what the backend server has said: it is gone, or another incarnation.
     void remove(const BackendId &id);
 
@@ -54,9 +60,14 @@
         double perSecond = 0.0;
         core::TimePoint since;
         core::TimePoint lastStated;
+        RateShare share;
         std::uint64_t sent = 0;
     };
 
+    SharedRate sharedRate(const BackendId &id, double perSecond) const;
+
+    core::RandomSequence m_random;
+    EntryPosition m_position;
     std::map<BackendId, Limit> m_limits;
     std::map<BackendId, core::TimePoint> m_unreadableReports;
 };
--- /dev/null
+++ b/packages/decisions/include/lycheelanding/decisions/intake/rateshare.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "lycheelanding/core/clock.h"
+#include "lycheelanding/core/random.h"
+#include "lycheelanding/decisions/membership/entryposition.h"
+
+#include <cstdint>
+
+namespace lycheelanding::decisions::intake {
+
+using membership::EntryPosition;
+
+/// A rate that all entries keep together, each of them its share.
+struct SharedRate
+{
+    /// Of all entries together.
+    double perSecond = 0.0;
+    EntryPosition position;
+
+    bool operator==(const SharedRate &) const = default;
+};
+
+/// One entry's share of a rate as a sequence of turns, each of which allows one request. The entries need no messages
+/// between them: they keep the rate also when all of them use their turns, and those that they have in reserve, at
+/// once. Where they are too many to have one in reserve each, only the first ones get turns.
+class RateShare
+{
+public:
+    explicit RateShare(std::uint64_t seed) : m_random(seed) { }
+
+    void setRate(const SharedRate &rate, core::TimePoint now);
+    bool allows(core::TimePoint now) const { return m_hasTurns && now >= m_nextTurn; }
+    void recordSent(core::TimePoint now);
+
+private:
+    core::RandomSequence m_random;
+    SharedRate m_rate;
+    bool m_hasTurns = false;
+    bool m_isStarted = false;
+    /// Time between two turns of this entry.
+    core::Duration m_interval{};
+    core::TimePoint m_nextTurn;
+};
+
+} // namespace lycheelanding::decisions::intake
--- a/packages/decisions/src/intake/backendintake.cpp
+++ b/packages/decisions/src/intake/backendintake.cpp
@@ -1,5 +1,8 @@
 #include "lycheelanding/decisions/intake/backendintake.h"
 
+#include "lycheelanding/core/stablehash.h"
+
+#include <algorithm>
 #include <chrono>
 
 namespace lycheelanding::decisions::intake {
@@ -7,18 +10,42 @@
 namespace {
 
 constexpr std::chrono::seconds unreadableReportInterval{10};
+/// More than the number of entries that run usually, as long as it is not known.
+constexpr std::size_t assumedEntries = 8;
 
 } // namespace
 
+BackendIntake::BackendIntake(std::uint64_t seed) : m_random(seed), m_position{assumedEntries, seed % assumedEntries} { }
+
+void BackendIntake::setPosition(const EntryPosition &position, core::TimePoint now)
+{
+    if (position == m_position) {
+        return;
+    }
+    m_position = position;
+    for (auto &[id, limit] : m_limits) {
+        limit.share.setRate(sharedRate(id, limit.perSecond), now);
+    }
+}
+
+SharedRate BackendIntake::sharedRate(const BackendId &id, double perSecond) const
+{
+    // Another entry is the first one at each backend server.
+    const auto entries = std::max<std::size_t>(m_position.entries, 1);
+    const auto offset = static_cast<std::size_t>(core::stableHash(id.text()) % entries);
+    return {perSecond, {entries, (m_position.index + offset) % entries}};
+}
+
 LimitChange BackendIntake::limitStated(const BackendId &id, double perSecond, core::TimePoint now)
 {
-    const auto [found, isNew] = m_limits.try_emplace(id, Limit{perSecond, now, now});
+    const auto [found, isNew] = m_limits.try_emplace(id, Limit{perSecond, now, now, RateShare(m_random.next())});
     auto &limit = found->second;
     limit.lastStated = now;
     if (!isNew && limit.perSecond == perSecond) {
         return LimitChange::None;
     }
     limit.perSecond = perSecond;
+    limit.share.setRate(sharedRate(id, perSecond), now);
     return LimitChange::Stated;
 }
 
@@ -43,10 +70,17 @@
     return true;
 }
 
-void BackendIntake::recordSent(const BackendId &id)
+bool BackendIntake::mayReceive(const BackendId &id, core::TimePoint now) const
+{
+    const auto found = m_limits.find(id);
+    return found == m_limits.end() || found->second.share.allows(now);
+}
+
+void BackendIntake::recordSent(const BackendId &id, core::TimePoint now)
 {
     const auto found = m_limits.find(id);
     if (found != m_limits.end()) {
+        found->second.share.recordSent(now);
         ++found->second.sent;
     }
 }
--- /dev/null
+++ b/packages/decisions/src/intake/rateshare.cpp
@@ -0,0 +1,59 @@
+#include "lycheelanding/decisions/intake/rateshare.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+namespace lycheelanding::decisions::intake {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Lower rates are raised to this one: only an answer shows that a backend server takes more again.
+constexpr double minPerSecond = 0.1;
+/// Unused turns of this time may be used later, and the last one at any time.
+constexpr core::Duration reserveTime = std::chrono::seconds(1);
+/// What all entries together may have in reserve, in seconds of the rate and in requests: the users' rule allows half
+/// as much again as the rate over 4 s, and 5 requests. One is kept back for a request that is on its way.
+constexpr double maxReserveSeconds = 2.0;
+constexpr double maxReserveRequests = 4.0;
+/// An entry that gets turns in place of another one waits until those of the other are no longer counted.
+constexpr core::Duration countedTime = std::chrono::seconds(4);
+
+core::Duration scaled(core::Duration duration, double factor)
+{
+    return std::chrono::duration_cast<core::Duration>(duration * factor);
+}
+
+} // namespace
+
+void RateShare::setRate(const SharedRate &rate, core::TimePoint now)
+{
+    if (std::exchange(m_isStarted, true) && rate == m_rate) {
+        return;
+    }
+    m_rate = rate;
+    const double perSecond = std::max(rate.perSecond, minPerSecond);
+    const double maxSharers = std::floor(maxReserveSeconds * perSecond + maxReserveRequests);
+    const double sharers = std::clamp(static_cast<double>(rate.position.entries), 1.0, maxSharers);
+    const auto interval = std::chrono::duration_cast<core::Duration>(Seconds(sharers / perSecond));
+    const auto earlier = std::exchange(m_interval, interval);
+    const bool hadTurns = std::exchange(m_hasTurns, static_cast<double>(rate.position.index) < sharers);
+    if (hadTurns && m_hasTurns) {
+        const auto left = std::max(m_nextTurn - now, core::Duration::zero());
+        m_nextTurn = now + scaled(left, Seconds(interval) / Seconds(earlier));
+        return;
+    }
+    const bool isFirst = earlier == core::Duration::zero();
+    m_nextTurn = now + (isFirst ? core::Duration::zero() : countedTime) + scaled(interval, m_random.nextUnit());
+}
+
+void RateShare::recordSent(core::TimePoint now)
+{
+    const auto reserve = std::max(reserveTime - m_interval, core::Duration::zero());
+    m_nextTurn = std::max(m_nextTurn, now - reserve) + m_interval;
+}
+
+} // namespace lycheelanding::decisions::intake
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -79,7 +79,8 @@
     bool isUnresponsive(const BackendId &id, core::TimePoint now) const;
     /// Stores the reported load of a backend server that belongs to a rank group.
     void updateBackendLoad(const BackendId &id, const BackendLoad &load, core::TimePoint now);
-    void setLiveEntries(std::size_t entries) { m_selector.setLiveEntries(entries); }
+    /// Sets the position of this entry among those that send to the same backend servers.
+    void setPosition(const decisions::membership::EntryPosition &position, core::TimePoint now);
 
     /// Selects a backend server and counts the attempt as sent to it. Fails with NoBackendServer, also while all
     /// backend servers are saturated, back off after a refusal, or belong to groups that do not step.
@@ -92,6 +93,7 @@
 
     /// What backend servers say about the requests that they take.
     decisions::intake::BackendIntake &intake() { return m_intake; }
+    const decisions::intake::BackendIntake &intake() const { return m_intake; }
 
     std::optional<RegisteredBackend> find(const BackendId &id) const;
     const std::map<BackendId, RegisteredBackend> &all() const { return m_backends; }
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -38,7 +38,10 @@
     void installConfiguration(ForwardingConfiguration configuration);
     void applyBackendChanges(const decisions::membership::DirectoryChanges &changes);
     void updateBackendLoad(const BackendId &id, const BackendLoad &load);
-    void setLiveEntries(std::size_t entries) { m_backends.setLiveEntries(entries); }
+    void setPosition(const decisions::membership::EntryPosition &position)
+    {
+        m_backends.setPosition(position, m_clock.now());
+    }
     /// Sends waiting requests for which there is capacity now; to be called often.
     void sendWaitingRequests() { m_waiting.advance(m_clock.now()); }
     /// Resumes streams of inactive backend servers elsewhere; to be called several times a second.
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -1,5 +1,6 @@
 #include "lycheelanding/forwarding/backendset.h"
 
+#include "lycheelanding/core/stablehash.h"
 #include "lycheelanding/forwarding/percent.h"
 
 #include <algorithm>
@@ -74,7 +75,7 @@
 }
 
 BackendSet::BackendSet(core::DataCentreId localDataCentre, std::uint64_t seed)
-    : m_localDataCentre(std::move(localDataCentre)), m_selector(selectorSettings(), seed)
+    : m_localDataCentre(std::move(localDataCentre)), m_selector(selectorSettings(), seed), m_intake(core::mixBits(seed))
 { }
 
 void BackendSet::apply(const decisions::membership::DirectoryChanges &changes, core::TimePoint now)
@@ -105,6 +106,12 @@
     }
 }
 
+void BackendSet::setPosition(const decisions::membership::EntryPosition &position, core::TimePoint now)
+{
+    m_selector.setLiveEntries(position.entries);
+    m_intake.setPosition(position, now);
+}
+
 void BackendSet::updateCandidates()
 {
     std::vector<decisions::routing::BackendCandidate> candidates;
@@ -203,6 +210,9 @@
 bool BackendSet::canAccept(const RegisteredBackend &backend, const BackendRequirements &request,
                            core::TimePoint now) const
 {
+    if (!m_intake.mayReceive(backend.id, now)) {
+        return false;
+    }
     const auto found = m_states.find(backend.id);
     if (found == m_states.end()) {
         return true;
@@ -248,7 +258,7 @@
     const BackendId id(choice.vm.text());
     m_selector.requestSent(attempt, choice, request.expectedTokens, now);
     m_attempts[attempt] = id;
-    m_intake.recordSent(id);
+    m_intake.recordSent(id, now);
     return ChosenBackend{id, m_endpoints.at(id), choice};
 }
 
--- a/packages/forwarding/tests/backendcapacitytest.cpp
+++ b/packages/forwarding/tests/backendcapacitytest.cpp
@@ -30,7 +30,7 @@
         backend.address = "10.0.0.1:8000";
         backend.slots = slots;
         backends.apply({decisions::membership::BackendUsable{backend}}, start);
-        backends.setLiveEntries(entries);
+        backends.setPosition({entries, 0}, start);
     }
 
     bool send(std::uint64_t attempt, core::TimePoint now)
@@ -62,7 +62,7 @@
 TEST(BackendCapacity, engineWithAFreeSlotAcceptsARequestAsSoonAsOneHasEnded)
 {
     EntryOfSeveral entry;
-    entry.backends.setLiveEntries(1);
+    entry.backends.setPosition({1, 0}, start);
     entry.backends.updateBackendLoad(engine, loadOf(5, start), start);
     ASSERT_TRUE(entry.send(1, start + 1ms));
     entry.backends.updateBackendLoad(engine, loadOf(8, start + 100ms), start + 100ms);
--- a/packages/forwarding/tests/limitedbackendstest.cpp
+++ b/packages/forwarding/tests/limitedbackendstest.cpp
@@ -57,6 +57,35 @@
     }
 }
 
+// What another backend server, or broken bytes, say at its address is no word of the backend server.
+TEST(LimitedBackends, limitsOfOthersAndUnreadableOnesChangeNothing)
+{
+    const std::string misdirected
+        = "HTTP/1.1 421 Misdirected Request\r\nAttempt: 77\r\n" + lowLimit + "Content-Length: 0\r\n\r\n";
+    const auto withoutProof = backendAnswer("few", "Attempt: 77\r\n" + lowLimit);
+    for (const auto &answer :
+         {misdirected, withoutProof, answerWith("Limit: few\r\n"), answerWith("Limit: -1\r\n"),
+          answerWith("Limit: nan\r\n"), answerWith("Limit: 1e999\r\n"), answerWith("Limit: 0.001 0\r\n"),
+          answerWith("Limit:\r\n"), answerWith("Limit: inf\r\n")}) {
+        LimitedSimulation entry(answer);
+        EXPECT_EQ(entry.simulation.entry().backends().intake().limitedCount(), 0U) << answer;
+    }
+}
+
+TEST(LimitedBackends, limitEndsWithTheFirstAnswerWithoutIt)
+{
+    EntrySimulation simulation;
+    simulation.configure(RouteKind::Idempotent);
+    int requests = 0;
+    simulation.addBackend([&requests](const std::string &) {
+        return ScriptedResponse{++requests == 1 ? answerWith("Limit: 1000\r\n") : backendAnswer("sound")};
+    });
+    simulation.exchange(callerRequest("GET"));
+    EXPECT_EQ(simulation.entry().backends().intake().limitedCount(), 1U);
+    simulation.exchange(callerRequest("GET"));
+    EXPECT_EQ(simulation.entry().backends().intake().limitedCount(), 0U);
+}
+
 // Each entry kept sending as much as its load balancing chose; a limit that is stated is for all entries together.
 TEST(LimitedBackends, entriesTogetherKeepToAStatedLimit)
 {
--- a/packages/forwarding/tests/limitedfleet.h
+++ b/packages/forwarding/tests/limitedfleet.h
@@ -65,7 +65,7 @@
             backend.slots = slots;
             for (const auto &entry : m_entries) {
                 entry->backends.apply({decisions::membership::BackendUsable{backend}}, m_now);
-                entry->backends.setLiveEntries(m_entries.size());
+                entry->backends.setPosition({m_entries.size(), entry->number}, m_now);
             }
             m_backends[backend.id].isLimited = number < options.limitedBackends;
         }
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
@@ -32,6 +32,8 @@
     std::uint32_t entries = 0;
     /// Only to leaders: the rank's experts in the active map.
     HeldExperts heldExperts;
+    /// Only to entries: position of the receiver among them, from 0.
+    std::uint32_t entryIndex = 0;
 };
 
 /// From a group's leader to a side: sends the command to the engine on the side's VM.
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankstatusreceiver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankstatusreceiver.h
@@ -39,8 +39,7 @@
     core::SystemClock m_clock;
     core::TimePoint m_nextRegular;
     core::TimePoint m_nextRepeat;
-    /// Entries that are known to run, this one included.
-    std::uint32_t m_liveEntries = 1;
+    decisions::membership::EntryPositionTracker m_position;
     std::size_t m_nextRelay = 0;
     DatagramSocket m_socket;
     asio::steady_timer m_timer;
--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -43,7 +43,7 @@
 namespace {
 
 /// Must be increased with each change of the message layout; messages of other versions are dropped.
-constexpr std::uint16_t protocolVersion = 5;
+constexpr std::uint16_t protocolVersion = 6;
 /// Guards against foreign bytes.
 constexpr std::size_t maxPromptParts = 32;
 
@@ -112,14 +112,14 @@
 {
     std::string lists;
     appendLists(lists, status.heldExperts);
-    archive(status.report, status.entries);
+    archive(status.report, status.entries, status.entryIndex);
     saveBytes(archive, lists);
 }
 
 template <typename Archive>
 void load(Archive &archive, RankStatus &status)
 {
-    archive(status.report, status.entries);
+    archive(status.report, status.entries, status.entryIndex);
     const std::string lists = loadBytes(archive);
     CompactReader reader(lists);
     auto heldExperts = reader.lists();
--- a/packages/rankgroups/src/rankstatusreceiver.cpp
+++ b/packages/rankgroups/src/rankstatusreceiver.cpp
@@ -69,7 +69,8 @@
         m_entry.prompts().tick();
     }
     if (now >= m_nextRepeat) {
-        m_nextRepeat = now + repeatIntervalPerEntry * m_liveEntries;
+        const auto entries = m_position.position() ? m_position.position()->entries : 1;
+        m_nextRepeat = now + repeatIntervalPerEntry * entries;
         repeatHeldReports();
     }
     for (const auto &[id, backend] : m_entry.backends().all()) {
@@ -155,8 +156,8 @@
         const auto &report = status.report;
         const bool isOpen = report.group.isEmpty() || report.isOpen;
         m_entry.updateBackendLoad(id, {report.group, isOpen, report.waiting, report.running, m_clock.now()});
-        m_entry.setLiveEntries(status.entries);
-        m_liveEntries = std::max(status.entries, 1U);
+        m_position.reported({status.entries, status.entryIndex}, m_clock.now());
+        m_entry.setPosition(*m_position.position());
         return;
     }
 }
--- a/packages/rankgroups/src/statussubscribers.cpp
+++ b/packages/rankgroups/src/statussubscribers.cpp
@@ -66,12 +66,14 @@
               return item.second.kind == SubscriberKind::Entry;
           }));
     std::vector<AddressedStatus> result;
+    std::uint32_t entryIndex = 0;
     for (auto &[receiver, subscriber] : m_subscribers) {
+        const bool isEntry = subscriber.kind == SubscriberKind::Entry;
         if (subscriber.kind != SubscriberKind::Leader && now >= subscriber.nextStatus) {
-            const bool isEntry = subscriber.kind == SubscriberKind::Entry;
             subscriber.nextStatus = now + (isEntry ? statusInterval : otherLeaderStatusInterval);
-            result.push_back({receiver, {latest.report, entries, {}}});
+            result.push_back({receiver, {latest.report, entries, {}, isEntry ? entryIndex : 0}});
         }
+        entryIndex += isEntry ? 1 : 0;
     }
     // The held experts for a leader take many times the bytes of a status.
     for (auto &[receiver, subscriber] : m_subscribers) {
--- a/packages/rankgroups/tests/rankdatagramstest.cpp
+++ b/packages/rankgroups/tests/rankdatagramstest.cpp
@@ -21,6 +21,7 @@
     status.report.rank = core::RankIndex(31);
     status.report.groupSize = 32;
     status.entries = 7;
+    status.entryIndex = 3;
     for (std::size_t layer = 0; layer < layers; ++layer) {
         status.heldExperts.push_back({1, 17, 64, 100, 127});
     }
@@ -55,6 +56,7 @@
     EXPECT_EQ(result.report.group, status.report.group);
     EXPECT_EQ(result.report.rank, status.report.rank);
     EXPECT_EQ(result.entries, status.entries);
+    EXPECT_EQ(result.entryIndex, status.entryIndex);
     EXPECT_EQ(result.heldExperts, status.heldExperts);
 }
 
--- a/packages/rankgroups/tests/statussubscriberstest.cpp
+++ b/packages/rankgroups/tests/statussubscriberstest.cpp
@@ -126,6 +126,18 @@
     }
 }
 
+// Entries that share a limit derive their shares from their positions, so no two may have the same one.
+TEST(StatusSubscribersTest, eachEntryGetsItsOwnPosition)
+{
+    StatusSubscribers subscribers;
+    subscribers.subscribed(endpointOf("10.1.0.50"), SubscriberKind::OtherLeader, start);
+    subscribers.subscribed(otherEntry, SubscriberKind::Entry, start);
+    subscribers.subscribed(entry, SubscriberKind::Entry, start);
+    for (const auto &item : subscribers.due(statusOf(1, 1), start)) {
+        EXPECT_EQ(item.status.entryIndex, item.receiver == otherEntry ? 1U : 0U);
+    }
+}
+
 // Statuses of 95 ranks at each read of their engines took half of the leader's link of 6 Mbit/s.
 TEST(StatusSubscribersTest, leaderGetsFewUpdatesWhileOnlyTheStepAndTheLoadChange)
 {
