--- a/packages/forwarding/tests/limitedfleet.h
+++ b/packages/forwarding/tests/limitedfleet.h
@@ -86,20 +86,6 @@
         return excess;
     }
 
-    /// Requests that limited backend servers got from second `from` of the play on, for `duration`.
-    std::size_t limitedArrivals(core::Duration from, core::Duration duration) const
-    {
-        std::size_t count = 0;
-        for (const auto &[id, backend] : m_backends) {
-            count += static_cast<std::size_t>(
-                std::count_if(backend.arrivals.begin(), backend.arrivals.end(), [&](const Arrival &arrival) {
-                    const auto at = arrival.at - start;
-                    return backend.isLimited && at >= from && at < from + duration;
-                }));
-        }
-        return count;
-    }
-
     std::size_t arrived = 0;
     std::size_t answered = 0;
     std::size_t refused = 0;
--- a/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/sideserver.h
@@ -5,8 +5,10 @@
 #include "lycheelanding/decisions/membership/backenddirectory.h"
 #include "lycheelanding/forwarding/eventlog.h"
 #include "lycheelanding/forwarding/suspensiondetector.h"
+#include "lycheelanding/rankgroups/commandexecutor.h"
 #include "lycheelanding/rankgroups/countsmember.h"
 #include "lycheelanding/rankgroups/datagramsocket.h"
+#include "lycheelanding/rankgroups/engineinterface.h"
 #include "lycheelanding/rankgroups/groupleader.h"
 #include "lycheelanding/rankgroups/membersubscriptions.h"
 #include "lycheelanding/rankgroups/statussubscribers.h"
@@ -20,24 +22,10 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace lycheelanding::rankgroups {
 
-/// Calls that a side makes to engines. Handlers get an empty value if the engine did not answer.
-struct EngineInterface
-{
-    std::function<void(const asio::ip::tcp::endpoint &engine, std::function<void(std::optional<RankReport>)>)>
-        readReport;
-    // Calls to the engine on the local VM.
-    std::function<void(std::function<void(std::optional<ChoiceCounts>)>)> readCounts;
-    std::function<void(std::function<void(std::optional<HeldExperts>)>)> readHeldExperts;
-    std::function<void(const asio::ip::tcp::endpoint &engine, const EngineCommandRequest &command,
-                       std::function<void(decisions::mapswitch::CommandAnswer)>)>
-        command;
-};
-
 /// Why a call to the store failed.
 enum class LeaseFailure : std::uint8_t {
     NoAnswer,
@@ -114,13 +102,6 @@
     void execute(const decisions::mapswitch::LostLeadership &action);
     void execute(const LeaderActions &actions);
     void command(const CommandEngine &action);
-    void logCommand(std::string_view event, const std::string &ip, const decisions::mapswitch::EngineCommand &command,
-                    decisions::mapswitch::CommandAnswer answer);
-    /// Records the fencing token that a command has installed at the local engine.
-    void recordInstalledFencingToken(const EngineCommandRequest &command, decisions::mapswitch::CommandAnswer answer);
-    void commandLocalEngine(const EngineCommandRequest &command,
-                            std::function<void(decisions::mapswitch::CommandAnswer)> onAnswer);
-    void executeOrder(const asio::ip::udp::endpoint &sender, const CommandOrder &order);
     void onReply(const std::string &ip, const CommandReply &reply);
     /// Resigns as leader if the VM was suspended, since the lease may have expired meanwhile.
     void checkSuspension();
@@ -133,27 +114,19 @@
     LeaderStoreInterface m_store;
     forwarding::EventLog &m_log;
     core::SystemClock m_clock;
+    CommandExecutor m_commands;
     asio::steady_timer m_timer;
     DatagramSocket m_socket;
     StatusSubscribers m_subscribers;
     CountsMember m_countsMember;
     /// Address of the group's leader, while it subscribes to this side.
     asio::ip::udp::endpoint m_groupLeader;
-    struct InstalledFencingToken
-    {
-        core::Generation generation;
-        decisions::mapswitch::FencingToken fencingToken;
-    };
-
     RankReport m_report;
-    /// The highest fencing token that the local engine has answered to in its latest generation.
-    InstalledFencingToken m_installedFencingToken;
     bool m_hasReport = false;
     bool m_isReading = false;
     bool m_isReadingCounts = false;
     bool m_isReadingHeldExperts = false;
     HeldExperts m_heldExperts;
-    KnownMaps m_knownMaps;
     std::optional<std::pair<core::Generation, core::MapVersion>> m_heldExpertsVersion;
     decisions::mapswitch::GroupLeadership m_leadership{decisions::mapswitch::LeadershipSettings()};
     std::unique_ptr<GroupLeader> m_leader;
@@ -173,8 +146,6 @@
     MemberSubscriptions m_memberSubscriptions;
     /// Only while this side leads its group.
     std::optional<CountsTree> m_countsTree;
-    /// When a leader last sent a command for the local engine.
-    core::TimePoint m_lastOrder;
 };
 
 } // namespace lycheelanding::rankgroups
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -63,7 +63,8 @@
 
 SideServer::SideServer(asio::io_context &context, const SideServerSettings &settings, EngineInterface engine,
                        LeaderStoreInterface store, forwarding::EventLog &log)
-    : m_settings(settings), m_engine(std::move(engine)), m_store(std::move(store)), m_log(log), m_timer(context),
+    : m_settings(settings), m_engine(std::move(engine)), m_store(std::move(store)), m_log(log),
+      m_commands(m_engine, settings.engine, settings.ip, log), m_timer(context),
       m_socket(context, [this](const auto &sender, const auto &datagram) { onDatagram(sender, datagram); }),
       m_countsMember(settings.ip)
 { }
@@ -120,7 +121,7 @@
 
 core::Duration SideServer::currentReadInterval() const
 {
-    const bool isMemberSwitching = m_clock.now() - m_lastOrder < switchActivityTime;
+    const bool isMemberSwitching = m_clock.now() - m_commands.lastOrder() < switchActivityTime;
     if (isMemberSwitching || (isLeading() && m_leader->isSwitching())) {
         return switchReadInterval;
     }
@@ -133,7 +134,7 @@
         return;
     }
     m_engine.readReport(m_settings.engine,
-                        [this, installed = m_installedFencingToken](std::optional<RankReport> report) {
+                        [this, installed = m_commands.installedFencingToken()](std::optional<RankReport> report) {
                             m_isReading = false;
                             if (report && installed.generation == report->state.generation) {
                                 report->installedFencingToken = installed.fencingToken;
@@ -217,7 +218,7 @@
         return;
     }
     if (const auto *order = std::get_if<CommandOrder>(&datagram)) {
-        executeOrder(sender, *order);
+        m_commands.executeOrder(*order, [this, sender](const CommandReply &reply) { m_socket.send(sender, reply); });
     } else if (const auto *reply = std::get_if<CommandReply>(&datagram)) {
         onReply(ip, *reply);
     } else if (isForEntries(datagram)) {
@@ -378,7 +379,7 @@
         onReply(ip, {number, fencingToken, answer});
     };
     if (action.ip == m_settings.ip) {
-        commandLocalEngine(action.command, onAnswer);
+        m_commands.execute(action.command, onAnswer);
         return;
     }
     // Normally the side on the engine's VM sends the command, since a local call is cheap. If the side does not reply,
@@ -386,7 +387,7 @@
     const auto now = m_clock.now();
     auto &unanswered = m_unanswered.try_emplace(action.ip, UnansweredCommands{now}).first->second;
     if (unanswered.sends > 0) {
-        logCommand("commandRepeated", action.ip, action.command.command, CommandAnswer::None);
+        logCommand(m_log, "commandRepeated", action.ip, action.command.command, CommandAnswer::None);
     }
     if (now - unanswered.since < replyTimeout || unanswered.sends < maxUnansweredCommands) {
         ++unanswered.sends;
@@ -400,61 +401,6 @@
     }
 }
 
-void SideServer::logCommand(std::string_view event, const std::string &ip, const EngineCommand &command,
-                            CommandAnswer answer)
-{
-    m_log.write(LogImportance::State, event,
-                {{"engine", ip},
-                 {"command", nameOf(command.kind)},
-                 {"answer", nameOf(answer)},
-                 {"map", numberOf(command.map)},
-                 {"step", static_cast<std::int64_t>(command.step.number())}});
-}
-
-void SideServer::commandLocalEngine(const EngineCommandRequest &command, std::function<void(CommandAnswer)> onAnswer)
-{
-    m_engine.command(m_settings.engine, command, [this, command, onAnswer = std::move(onAnswer)](CommandAnswer answer) {
-        recordInstalledFencingToken(command, answer);
-        onAnswer(answer);
-    });
-}
-
-void SideServer::recordInstalledFencingToken(const EngineCommandRequest &command, CommandAnswer answer)
-{
-    const bool isAcknowledged = answer == CommandAnswer::Done || answer == CommandAnswer::Conflict;
-    const auto generation = command.command.generation;
-    const bool isNewer = generation > m_installedFencingToken.generation
-        || (generation == m_installedFencingToken.generation
-            && command.fencingToken > m_installedFencingToken.fencingToken);
-    if (isAcknowledged && isNewer) {
-        m_installedFencingToken = {generation, command.fencingToken};
-    }
-}
-
-void SideServer::executeOrder(const asio::ip::udp::endpoint &sender, const CommandOrder &order)
-{
-    m_lastOrder = m_clock.now();
-    auto request = order.command;
-    if (request.change) {
-        request.experts = m_knownMaps.resolve(*request.change);
-        if (!request.experts) {
-            m_socket.send(sender, CommandReply{order.number, request.fencingToken, CommandAnswer::MapUnknown});
-            return;
-        }
-    }
-    if (request.experts) {
-        m_knownMaps.add(request.experts);
-    }
-    commandLocalEngine(request, [this, sender, number = order.number, command = order.command](CommandAnswer answer) {
-        if (answer != CommandAnswer::Done) {
-            logCommand("commandRefused", m_settings.ip, command.command, answer);
-        }
-        if (answer != CommandAnswer::None) {
-            m_socket.send(sender, CommandReply{number, command.fencingToken, answer});
-        }
-    });
-}
-
 void SideServer::onReply(const std::string &ip, const CommandReply &reply)
 {
     if (reply.answer != CommandAnswer::None) {
