Entries divide stated limits by the demand that reaches them

An entry reports the demand for services with limited backend servers in its subscriptions to the sides, once a second; sides add the reports up and return the sums with their status. Nothing is sent while no limit is known. Entries that have not reported count as average ones, so that the first one to learn of a limit doesn't take all of it.

--- a/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheelanding/core/clock.h"
+#include "lycheelanding/decisions/intake/demandshares.h"
 #include "lycheelanding/decisions/intake/rateshare.h"
 #include "lycheelanding/decisions/membership/backenddirectory.h"
 
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 /// What backend servers say in their answers about the requests that they take.
 namespace lycheelanding::decisions::intake {
@@ -39,7 +41,12 @@
     explicit BackendIntake(std::uint64_t seed);
 
     void setPosition(const EntryPosition &position, core::TimePoint now);
-    LimitChange limitStated(const BackendId &id, double perSecond, core::TimePoint now);
+    /// A request of the service looks for a backend server.
+    void requestArrived(const core::ServiceId &service, core::TimePoint now) { m_demand.requestArrived(service, now); }
+    /// This entry's demand for the services with limited backend servers, to be reported to the other entries.
+    std::vector<ServiceDemand> demandReports(core::TimePoint now);
+    void demandReported(const std::vector<TotalDemand> &totals, core::TimePoint now);
+    LimitChange limitStated(const BackendId &id, const core::ServiceId &service, double perSecond, core::TimePoint now);
     /// An answer states no limit; `sentAt`: when its request was sent.
     std::optional<EndedLimit> noLimitStated(const BackendId &id, core::TimePoint sentAt, core::TimePoint now);
     /// Whether an unreadable limit is to be reported now; the limit before remains in force.
@@ -57,6 +64,7 @@
 private:
     struct Limit
     {
+        core::ServiceId service;
         double perSecond = 0.0;
         core::TimePoint since;
         core::TimePoint lastStated;
@@ -64,10 +72,13 @@
         std::uint64_t sent = 0;
     };
 
-    SharedRate sharedRate(const BackendId &id, double perSecond) const;
+    SharedRate sharedRate(const BackendId &id, const Limit &limit, core::TimePoint now) const;
+    void updateShares(core::TimePoint now);
 
     core::RandomSequence m_random;
     EntryPosition m_position;
+    DemandShares m_demand;
+    core::TimePoint m_nextUpdate;
     std::map<BackendId, Limit> m_limits;
     std::map<BackendId, core::TimePoint> m_unreadableReports;
 };
--- a/packages/decisions/include/lycheelanding/decisions/intake/rateshare.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/rateshare.h
@@ -16,6 +16,8 @@
     /// Of all entries together.
     double perSecond = 0.0;
     EntryPosition position;
+    /// Part of the rate that is this entry's.
+    double fraction = 1.0;
 
     bool operator==(const SharedRate &) const = default;
 };
--- a/packages/decisions/src/intake/backendintake.cpp
+++ b/packages/decisions/src/intake/backendintake.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 
 namespace lycheelanding::decisions::intake {
 
@@ -12,6 +13,8 @@
 constexpr std::chrono::seconds unreadableReportInterval{10};
 /// More than the number of entries that run usually, as long as it is not known.
 constexpr std::size_t assumedEntries = 8;
+/// Many sides report the same sums.
+constexpr std::chrono::milliseconds updateInterval{250};
 
 } // namespace
 
@@ -23,29 +26,62 @@
         return;
     }
     m_position = position;
+    updateShares(now);
+}
+
+std::vector<ServiceDemand> BackendIntake::demandReports(core::TimePoint now)
+{
+    std::set<core::ServiceId> services;
+    for (const auto &[id, limit] : m_limits) {
+        services.insert(limit.service);
+    }
+    std::vector<ServiceDemand> demands;
+    for (const auto &service : services) {
+        demands.push_back(m_demand.report(service, now));
+    }
+    return demands;
+}
+
+void BackendIntake::demandReported(const std::vector<TotalDemand> &totals, core::TimePoint now)
+{
+    for (const auto &total : totals) {
+        m_demand.totalReported(total, now);
+    }
+    if (!totals.empty() && now >= m_nextUpdate) {
+        m_nextUpdate = now + updateInterval;
+        updateShares(now);
+    }
+}
+
+void BackendIntake::updateShares(core::TimePoint now)
+{
     for (auto &[id, limit] : m_limits) {
-        limit.share.setRate(sharedRate(id, limit.perSecond), now);
+        limit.share.setRate(sharedRate(id, limit, now), now);
     }
 }
 
-SharedRate BackendIntake::sharedRate(const BackendId &id, double perSecond) const
+SharedRate BackendIntake::sharedRate(const BackendId &id, const Limit &limit, core::TimePoint now) const
 {
     // Another entry is the first one at each backend server.
     const auto entries = std::max<std::size_t>(m_position.entries, 1);
     const auto offset = static_cast<std::size_t>(core::stableHash(id.text()) % entries);
-    return {perSecond, {entries, (m_position.index + offset) % entries}};
+    return {limit.perSecond,
+            {entries, (m_position.index + offset) % entries},
+            m_demand.fraction(limit.service, entries, now)};
 }
 
-LimitChange BackendIntake::limitStated(const BackendId &id, double perSecond, core::TimePoint now)
+LimitChange BackendIntake::limitStated(const BackendId &id, const core::ServiceId &service, double perSecond,
+                                       core::TimePoint now)
 {
-    const auto [found, isNew] = m_limits.try_emplace(id, Limit{perSecond, now, now, RateShare(m_random.next())});
+    const auto [found, isNew]
+        = m_limits.try_emplace(id, Limit{service, perSecond, now, now, RateShare(m_random.next())});
     auto &limit = found->second;
     limit.lastStated = now;
     if (!isNew && limit.perSecond == perSecond) {
         return LimitChange::None;
     }
     limit.perSecond = perSecond;
-    limit.share.setRate(sharedRate(id, perSecond), now);
+    limit.share.setRate(sharedRate(id, limit, now), now);
     return LimitChange::Stated;
 }
 
--- a/packages/decisions/src/intake/rateshare.cpp
+++ b/packages/decisions/src/intake/rateshare.cpp
@@ -37,10 +37,12 @@
     m_rate = rate;
     const double perSecond = std::max(rate.perSecond, minPerSecond);
     const double maxSharers = std::floor(maxReserveSeconds * perSecond + maxReserveRequests);
-    const double sharers = std::clamp(static_cast<double>(rate.position.entries), 1.0, maxSharers);
-    const auto interval = std::chrono::duration_cast<core::Duration>(Seconds(sharers / perSecond));
+    const bool areTooMany = static_cast<double>(rate.position.entries) > maxSharers;
+    const double fraction = areTooMany ? 1.0 / maxSharers : rate.fraction;
+    const auto interval = std::chrono::duration_cast<core::Duration>(Seconds(1.0 / (perSecond * fraction)));
     const auto earlier = std::exchange(m_interval, interval);
-    const bool hadTurns = std::exchange(m_hasTurns, static_cast<double>(rate.position.index) < sharers);
+    const bool hasTurns = !areTooMany || static_cast<double>(rate.position.index) < maxSharers;
+    const bool hadTurns = std::exchange(m_hasTurns, hasTurns);
     if (hadTurns && m_hasTurns) {
         const auto left = std::max(m_nextTurn - now, core::Duration::zero());
         m_nextTurn = now + scaled(left, Seconds(interval) / Seconds(earlier));
--- a/packages/decisions/tests/intake/ratesharetest.cpp
+++ b/packages/decisions/tests/intake/ratesharetest.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <numeric>
 #include <vector>
 
 namespace lycheelanding::decisions::intake {
@@ -25,6 +26,20 @@
     return allowedMultiple * perSecond * std::chrono::duration<double>(window).count() + allowedExtra;
 }
 
+/// Uneven ones, with the sum 1.
+rc::Gen<std::vector<double>> fractionsOf(std::size_t sharers)
+{
+    return rc::gen::map(rc::gen::container<std::vector<int>>(sharers, rc::gen::inRange(1, 50)),
+                        [](const std::vector<int> &weights) {
+                            const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
+                            std::vector<double> fractions;
+                            for (const int weight : weights) {
+                                fractions.push_back(weight / sum);
+                            }
+                            return fractions;
+                        });
+}
+
 /// Requests that may be sent until `time`, for one that always has one to send.
 int sentUntil(RateShare &share, core::TimePoint time)
 {
@@ -46,10 +61,11 @@
     const auto sharers = *rc::gen::inRange<std::size_t>(1, 60);
     const double perSecond = *rc::gen::inRange(0, 100) / 10.0;
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto fractions = *fractionsOf(sharers);
     std::vector<RateShare> shares;
     for (std::size_t sharer = 0; sharer < sharers; ++sharer) {
         shares.emplace_back(seed + sharer);
-        shares.back().setRate({perSecond, {sharers, sharer}}, start);
+        shares.back().setRate({perSecond, {sharers, sharer}, fractions[sharer]}, start);
     }
     // Times with requests at every entry follow times with none.
     std::deque<core::TimePoint> sent;
@@ -78,7 +94,7 @@
     int sent = 0;
     for (std::size_t sharer = 0; sharer < sharers; ++sharer) {
         RateShare share(sharer);
-        share.setRate({2.0, {sharers, sharer}}, start);
+        share.setRate({2.0, {sharers, sharer}, 1.0 / sharers}, start);
         sent += sentUntil(share, start + 100s);
     }
     EXPECT_GE(sent, 190);
@@ -89,7 +105,7 @@
 TEST(RateShare, rateOfZeroAllowsARequestNowAndThen)
 {
     RateShare share(1);
-    share.setRate({0.0, {1, 0}}, start);
+    share.setRate({0.0, {1, 0}, 1.0}, start);
     const int sent = sentUntil(share, start + 60s);
     EXPECT_GE(sent, 3);
     EXPECT_LE(sent, 12);
@@ -98,8 +114,8 @@
 TEST(RateShare, higherRateAppliesToTheTurnThatIsAwaited)
 {
     RateShare share(1);
-    share.setRate({0.1, {4, 0}}, start);
-    share.setRate({100.0, {1, 0}}, start + 1ms);
+    share.setRate({0.1, {4, 0}, 0.25}, start);
+    share.setRate({100.0, {1, 0}, 1.0}, start + 1ms);
     EXPECT_TRUE(share.allows(start + 20ms));
 }
 
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -55,6 +55,7 @@
     std::uint16_t callerPort() const { return m_callerServer.port(); }
     bool isReady() const { return m_routes && m_hasBackendList && m_drain.isReady(); }
     const BackendSet &backends() const { return m_backends; }
+    decisions::intake::BackendIntake &intake() { return m_backends.intake(); }
     const RouteTablePointer &routes() const { return m_routes; }
     report::Metrics &metrics() { return m_metrics; }
     PromptGuard &prompts() { return m_prompts; }
--- a/packages/forwarding/src/backendattempt.cpp
+++ b/packages/forwarding/src/backendattempt.cpp
@@ -85,7 +85,8 @@
         }
         return;
     }
-    if (intake.limitStated(backend(), *perSecond, now) == decisions::intake::LimitChange::None) {
+    if (intake.limitStated(backend(), m_resources.backends.all().at(backend()).service, *perSecond, now)
+        == decisions::intake::LimitChange::None) {
         return;
     }
     m_resources.metrics.increment(report::Counter::BackendLimitsStated);
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -107,6 +107,7 @@
     if (giveUpHeldPrompt()) {
         return;
     }
+    m_resources.backends.intake().requestArrived(m_terms.service, now());
     if (m_resources.waiting.hasWaiting(m_terms.service, m_terms.priority, now()) || !trySend()) {
         m_resources.waiting.add(shared_from_this());
     }
--- a/packages/forwarding/tests/limitedbackendstest.cpp
+++ b/packages/forwarding/tests/limitedbackendstest.cpp
@@ -145,4 +145,21 @@
     }
 }
 
+// Callers do not spread evenly over the entries. With even shares, entries with many of them refused requests while the
+// shares of the others were left unused.
+TEST(LimitedBackends, entriesWithUnevenDemandUseTheWholeLimit)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        LimitedFleetOptions options;
+        options.limitedBackends = options.backends;
+        options.limit = 4.0;
+        options.arrivals = {4.0, 32.0, 8.0, 4.0};
+        options.limitedFor = 30s;
+        options.seed = seed;
+        const LimitedFleet fleet(options);
+        EXPECT_LE(fleet.largestExcess(), 0.0) << "seed " << seed;
+        EXPECT_LE(fleet.refused * 100, fleet.arrived) << "seed " << seed;
+    }
+}
+
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/tests/limitedfleet.h
+++ b/packages/forwarding/tests/limitedfleet.h
@@ -47,8 +47,8 @@
     std::uint64_t seed = 1;
 };
 
-/// Entries before backend servers, some of which state a limit for a time, in virtual time. All entries know each
-/// other's number and nothing else of each other.
+/// Entries before backend servers, some of which state a limit for a time, in virtual time. The entries know of
+/// each other what sides tell them: their positions and the sum of their demand.
 class LimitedFleet
 {
 public:
@@ -99,6 +99,7 @@
     static constexpr core::Duration timeToFirstToken = std::chrono::milliseconds(150);
     static constexpr core::Duration timeToEnd = std::chrono::milliseconds(800);
     static constexpr core::Duration statusInterval = std::chrono::milliseconds(100);
+    static constexpr core::Duration demandInterval = std::chrono::seconds(1);
     static constexpr core::Duration maxWait = std::chrono::milliseconds(1500);
     static constexpr std::size_t slots = 12;
 
@@ -124,7 +125,13 @@
     public:
         Request(Entry &entry, core::TimePoint arrival) : m_entry(entry), m_arrival(arrival) { }
 
-        bool trySend() { return m_entry.fleet.send(m_entry); }
+        bool trySend()
+        {
+            if (!std::exchange(m_isCounted, true)) {
+                m_entry.backends.intake().requestArrived(service(), m_entry.fleet.m_now);
+            }
+            return m_entry.fleet.send(m_entry);
+        }
         void onWaitTimeout()
         {
             ++m_entry.fleet.refused;
@@ -140,6 +147,7 @@
     private:
         Entry &m_entry;
         core::TimePoint m_arrival;
+        bool m_isCounted = false;
     };
 
     struct Entry
@@ -179,6 +187,10 @@
             m_events.erase(m_events.begin());
             handle(event);
         }
+        if (m_now >= m_nextDemands) {
+            m_nextDemands = m_now + demandInterval;
+            sendDemands();
+        }
         if (m_now >= m_nextStatus) {
             m_nextStatus = m_now + statusInterval;
             sendStatus();
@@ -229,14 +241,31 @@
         backends.recordFirstEvent(event.attempt, 1, m_now);
         if (event.statedLimit) {
             backend.toldAt.try_emplace(event.entry, m_now);
-            backends.intake().limitStated(event.backend, *event.statedLimit, m_now);
+            backends.intake().limitStated(event.backend, m_service, *event.statedLimit, m_now);
         } else {
             backends.intake().noLimitStated(event.backend, event.sentAt, m_now);
         }
     }
 
+    /// What the sides add up of the entries' reports.
+    void sendDemands()
+    {
+        decisions::intake::TotalDemand total;
+        total.service = m_service;
+        for (const auto &entry : m_entries) {
+            for (const auto &demand : entry->backends.intake().demandReports(m_now)) {
+                total.perSecond += demand.perSecond;
+                ++total.entries;
+            }
+        }
+        m_totals = total.entries > 0 ? std::vector{total} : std::vector<decisions::intake::TotalDemand>();
+    }
+
     void sendStatus()
     {
+        for (const auto &entry : m_entries) {
+            entry->backends.intake().demandReported(m_totals, m_now);
+        }
         for (const auto &[id, backend] : m_backends) {
             for (const auto &entry : m_entries) {
                 entry->backends.updateBackendLoad(id, {core::GroupId(), true, 0, backend.running, m_now}, m_now);
@@ -280,6 +309,8 @@
     core::RandomSequence m_random;
     core::TimePoint m_now = start;
     core::TimePoint m_nextStatus = start;
+    core::TimePoint m_nextDemands = start;
+    std::vector<decisions::intake::TotalDemand> m_totals;
     std::uint64_t m_lastAttempt = 0;
     std::vector<std::unique_ptr<Entry>> m_entries;
     std::map<BackendId, Backend> m_backends;
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lycheelanding/decisions/intake/demandshares.h"
 #include "lycheelanding/decisions/quarantine/promptparts.h"
 #include "lycheelanding/rankgroups/countscollector.h"
 #include "lycheelanding/rankgroups/rankreport.h"
@@ -10,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace lycheelanding::rankgroups {
 
@@ -22,6 +24,8 @@
     std::string countsCollector;
     /// Only from a leader: interval of sending counts.
     std::uint32_t countsIntervalMs = 0;
+    /// Only from an entry: its demand for services with limited backend servers.
+    std::vector<decisions::intake::ServiceDemand> demands = {};
 };
 
 /// Status update from a side to its subscribers.
@@ -34,6 +38,8 @@
     HeldExperts heldExperts;
     /// Only to entries: position of the receiver among them, from 0.
     std::uint32_t entryIndex = 0;
+    /// Only to entries: what those that subscribe have reported.
+    std::vector<decisions::intake::TotalDemand> demands = {};
 };
 
 /// From a group's leader to a side: sends the command to the engine on the side's VM.
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankstatusreceiver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankstatusreceiver.h
@@ -40,6 +40,7 @@
     core::TimePoint m_nextRegular;
     core::TimePoint m_nextRepeat;
     decisions::membership::EntryPositionTracker m_position;
+    Subscription m_subscription;
     std::size_t m_nextRelay = 0;
     DatagramSocket m_socket;
     asio::steady_timer m_timer;
--- a/packages/rankgroups/include/lycheelanding/rankgroups/statussubscribers.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/statussubscribers.h
@@ -31,7 +31,9 @@
 class StatusSubscribers
 {
 public:
-    void subscribed(const asio::ip::udp::endpoint &subscriber, SubscriberKind kind, core::TimePoint now);
+    /// `demands`: of an entry.
+    void subscribed(const asio::ip::udp::endpoint &subscriber, SubscriberKind kind, core::TimePoint now,
+                    std::vector<decisions::intake::ServiceDemand> demands = {});
     /// Whether the leader of the side's group subscribes.
     bool hasLeader() const;
     /// The subscribed entries but for `excluded`.
@@ -46,6 +48,7 @@
         SubscriberKind kind = SubscriberKind::Entry;
         core::TimePoint expiresAt;
         core::TimePoint nextStatus;
+        std::vector<decisions::intake::ServiceDemand> demands;
         /// Only for a leader: the report that was sent last, and whether it has been sent again.
         std::optional<RankReport> sentReport;
         bool isRepeated = false;
@@ -54,6 +57,7 @@
         core::TimePoint nextHeldExperts;
     };
 
+    std::vector<decisions::intake::TotalDemand> totalDemands() const;
     static std::optional<RankStatus> leaderStatus(Subscriber &leader, const RankStatus &latest, core::TimePoint now);
 
     std::map<asio::ip::udp::endpoint, Subscriber> m_subscribers;
--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <exception>
 #include <sstream>
+#include <type_traits>
 #include <utility>
 
 namespace lycheelanding::decisions::mapswitch {
@@ -46,6 +47,7 @@
 constexpr std::uint16_t protocolVersion = 6;
 /// Guards against foreign bytes.
 constexpr std::size_t maxPromptParts = 32;
+constexpr std::size_t maxDemands = 16;
 
 /// Appends the bytes with their length in front.
 template <typename Archive>
@@ -79,6 +81,46 @@
     }
 }
 
+template <typename Archive>
+void serializeService(Archive &archive, core::ServiceId &service)
+{
+    std::string text = service.text();
+    serializeText(archive, text);
+    service = core::ServiceId(std::move(text));
+}
+
+/// Rates go in requests per 1,000 s.
+template <typename Archive>
+void serializeRate(Archive &archive, double &perSecond)
+{
+    constexpr double scale = 1000.0;
+    constexpr double largest = 4e9;
+    auto scaled = static_cast<std::uint32_t>(std::clamp(perSecond * scale, 0.0, largest));
+    archive(scaled);
+    perSecond = scaled / scale;
+}
+
+/// Serializes a list with its length, which is checked before the list is allocated.
+template <typename Archive, typename Item>
+void serializeDemands(Archive &archive, std::vector<Item> &demands)
+{
+    auto count = static_cast<std::uint8_t>(std::min(demands.size(), maxDemands));
+    archive(count);
+    if (count > maxDemands) {
+        throw cereal::Exception("too many services");
+    }
+    demands.resize(count);
+    for (auto &demand : demands) {
+        serializeService(archive, demand.service);
+        serializeRate(archive, demand.perSecond);
+        if constexpr (std::is_same_v<Item, decisions::intake::TotalDemand>) {
+            auto entries = static_cast<std::uint32_t>(demand.entries);
+            archive(entries);
+            demand.entries = entries;
+        }
+    }
+}
+
 } // namespace
 
 template <typename Archive>
@@ -97,6 +139,7 @@
     serializeText(archive, subscription.ledGroup);
     serializeText(archive, subscription.countsCollector);
     archive(subscription.countsIntervalMs);
+    serializeDemands(archive, subscription.demands);
     if constexpr (Archive::is_loading::value) {
         asio::error_code error;
         asio::ip::make_address(subscription.countsCollector, error);
@@ -114,6 +157,8 @@
     appendLists(lists, status.heldExperts);
     archive(status.report, status.entries, status.entryIndex);
     saveBytes(archive, lists);
+    auto demands = status.demands;
+    serializeDemands(archive, demands);
 }
 
 template <typename Archive>
@@ -127,6 +172,7 @@
         throw cereal::Exception("invalid lists");
     }
     status.heldExperts = std::move(*heldExperts);
+    serializeDemands(archive, status.demands);
 }
 
 template <typename Archive>
--- a/packages/rankgroups/src/rankstatusreceiver.cpp
+++ b/packages/rankgroups/src/rankstatusreceiver.cpp
@@ -67,6 +67,7 @@
     if (isRegular) {
         m_nextRegular = now + subscribeInterval;
         m_entry.prompts().tick();
+        m_subscription.demands = m_entry.intake().demandReports(now);
     }
     if (now >= m_nextRepeat) {
         const auto entries = m_position.position() ? m_position.position()->entries : 1;
@@ -81,7 +82,7 @@
         const auto endpoint = forwarding::endpointFrom(backend.address);
         // Only backend servers of a service with a model have a side.
         if (endpoint && service != nullptr && service->model) {
-            m_socket.send({endpoint->address(), m_port}, Subscription{});
+            m_socket.send({endpoint->address(), m_port}, m_subscription);
         }
     }
     m_timer.expires_after(firstStatusSubscribeInterval);
@@ -158,6 +159,7 @@
         m_entry.updateBackendLoad(id, {report.group, isOpen, report.waiting, report.running, m_clock.now()});
         m_position.reported({status.entries, status.entryIndex}, m_clock.now());
         m_entry.setPosition(*m_position.position());
+        m_entry.intake().demandReported(status.demands, m_clock.now());
         return;
     }
 }
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -244,7 +244,7 @@
         m_leadership.leaderSeen(now);
     }
     const auto otherKind = subscription.ledGroup.empty() ? SubscriberKind::Entry : SubscriberKind::OtherLeader;
-    m_subscribers.subscribed(sender, isLeader ? SubscriberKind::Leader : otherKind, now);
+    m_subscribers.subscribed(sender, isLeader ? SubscriberKind::Leader : otherKind, now, subscription.demands);
 }
 
 void SideServer::onCountsReport(const std::string &sender, const CountsReport &report)
--- a/packages/rankgroups/src/statussubscribers.cpp
+++ b/packages/rankgroups/src/statussubscribers.cpp
@@ -31,7 +31,8 @@
 
 } // namespace
 
-void StatusSubscribers::subscribed(const asio::ip::udp::endpoint &subscriber, SubscriberKind kind, core::TimePoint now)
+void StatusSubscribers::subscribed(const asio::ip::udp::endpoint &subscriber, SubscriberKind kind, core::TimePoint now,
+                                   std::vector<decisions::intake::ServiceDemand> demands)
 {
     auto &item = m_subscribers[subscriber];
     if (item.kind != kind) {
@@ -39,6 +40,25 @@
     }
     item.kind = kind;
     item.expiresAt = now + subscriptionTimeToLive;
+    item.demands = std::move(demands);
+}
+
+std::vector<decisions::intake::TotalDemand> StatusSubscribers::totalDemands() const
+{
+    std::map<core::ServiceId, decisions::intake::TotalDemand> totals;
+    for (const auto &[address, subscriber] : m_subscribers) {
+        for (const auto &demand : subscriber.demands) {
+            auto &total = totals[demand.service];
+            total.service = demand.service;
+            total.perSecond += demand.perSecond;
+            ++total.entries;
+        }
+    }
+    std::vector<decisions::intake::TotalDemand> result;
+    for (auto &[service, total] : totals) {
+        result.push_back(std::move(total));
+    }
+    return result;
 }
 
 bool StatusSubscribers::hasLeader() const
@@ -66,12 +86,13 @@
               return item.second.kind == SubscriberKind::Entry;
           }));
     std::vector<AddressedStatus> result;
+    const auto demands = totalDemands();
     std::uint32_t entryIndex = 0;
     for (auto &[receiver, subscriber] : m_subscribers) {
         const bool isEntry = subscriber.kind == SubscriberKind::Entry;
         if (subscriber.kind != SubscriberKind::Leader && now >= subscriber.nextStatus) {
             subscriber.nextStatus = now + (isEntry ? statusInterval : otherLeaderStatusInterval);
-            result.push_back({receiver, {latest.report, entries, {}, isEntry ? entryIndex : 0}});
+            result.push_back({receiver, {latest.report, entries, {}, isEntry ? entryIndex : 0, demands}});
         }
         entryIndex += isEntry ? 1 : 0;
     }
--- a/packages/rankgroups/tests/rankdatagramstest.cpp
+++ b/packages/rankgroups/tests/rankdatagramstest.cpp
@@ -22,6 +22,7 @@
     status.report.groupSize = 32;
     status.entries = 7;
     status.entryIndex = 3;
+    status.demands = {{core::ServiceId("drafts"), 71.5, 6}, {core::ServiceId("orders"), 0.0, 1}};
     for (std::size_t layer = 0; layer < layers; ++layer) {
         status.heldExperts.push_back({1, 17, 64, 100, 127});
     }
@@ -57,9 +58,19 @@
     EXPECT_EQ(result.report.rank, status.report.rank);
     EXPECT_EQ(result.entries, status.entries);
     EXPECT_EQ(result.entryIndex, status.entryIndex);
+    EXPECT_EQ(result.demands, status.demands);
     EXPECT_EQ(result.heldExperts, status.heldExperts);
 }
 
+TEST(RankDatagramsTest, subscriptionIsTheSameAfterDecoding)
+{
+    Subscription subscription;
+    subscription.demands = {{core::ServiceId("drafts"), 12.25}, {core::ServiceId("orders"), 0.5}};
+    const auto decoded = decodeDatagram(encodeDatagram(subscription));
+    ASSERT_TRUE(decoded && std::holds_alternative<Subscription>(*decoded));
+    EXPECT_EQ(std::get<Subscription>(*decoded).demands, subscription.demands);
+}
+
 TEST(RankDatagramsTest, countsAreTheSameAfterDecoding)
 {
     const auto report = countsOfARank();
--- a/packages/rankgroups/tests/statussubscriberstest.cpp
+++ b/packages/rankgroups/tests/statussubscriberstest.cpp
@@ -138,6 +138,23 @@
     }
 }
 
+// Entries divide the limits of a service by their parts of the sum.
+TEST(StatusSubscribersTest, entriesGetTheSumsOfTheirDemands)
+{
+    const core::ServiceId drafts("drafts");
+    StatusSubscribers subscribers;
+    subscribers.subscribed(entry, SubscriberKind::Entry, start, {{drafts, 4.0}});
+    subscribers.subscribed(otherEntry, SubscriberKind::Entry, start, {{drafts, 8.0}});
+    subscribers.subscribed(otherEntry, SubscriberKind::Entry, start, {{drafts, 9.0}});
+    for (const auto &item : subscribers.due(statusOf(1, 1), start)) {
+        EXPECT_EQ(item.status.demands, (std::vector<decisions::intake::TotalDemand>{{drafts, 13.0, 2}}));
+    }
+    subscribers.subscribed(entry, SubscriberKind::Entry, start + 2s);
+    const auto due = subscribers.due(statusOf(1, 1), start + 4s);
+    ASSERT_EQ(due.size(), 1U);
+    EXPECT_TRUE(due[0].status.demands.empty());
+}
+
 // Statuses of 95 ranks at each read of their engines took half of the leader's link of 6 Mbit/s.
 TEST(StatusSubscribersTest, leaderGetsFewUpdatesWhileOnlyTheStepAndTheLoadChange)
 {
