Entries report limits of backend servers to each other, and probe where they get no turns

LimitTracker reads the field and reports changes over the sides, as crash reports go; a report of an end counts only if the request was sent after the last answer with the limit, whoever got it. Where reports are lost, an entry without turns sends one probe after 30 s, the entries one after the other.

--- a/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
@@ -24,6 +24,15 @@
     Ended,
 };
 
+struct StatedLimit
+{
+    BackendId backend;
+    core::ServiceId service;
+    double perSecond = 0.0;
+    /// When the answer that states it arrived, at this entry or another one.
+    core::TimePoint at;
+};
+
 /// A limit that has ended.
 struct EndedLimit
 {
@@ -46,7 +55,7 @@
     /// This entry's demand for the services with limited backend servers, to be reported to the other entries.
     std::vector<ServiceDemand> demandReports(core::TimePoint now);
     void demandReported(const std::vector<TotalDemand> &totals, core::TimePoint now);
-    LimitChange limitStated(const BackendId &id, const core::ServiceId &service, double perSecond, core::TimePoint now);
+    LimitChange limitStated(const StatedLimit &stated, core::TimePoint now);
     /// An answer states no limit; `sentAt`: when its request was sent.
     std::optional<EndedLimit> noLimitStated(const BackendId &id, core::TimePoint sentAt, core::TimePoint now);
     /// Whether an unreadable limit is to be reported now; the limit before remains in force.
@@ -70,8 +79,13 @@
         core::TimePoint lastStated;
         RateShare share;
         std::uint64_t sent = 0;
+        /// When this entry, if it gets no turns, may find out with one request whether the limit has ended.
+        core::TimePoint nextProbe = {};
     };
 
+    core::Duration probeDelay(const BackendId &id) const;
+    /// Another entry is the first one at each backend server.
+    EntryPosition positionAt(const BackendId &id) const;
     SharedRate sharedRate(const BackendId &id, const Limit &limit, core::TimePoint now) const;
     void updateShares(core::TimePoint now);
 
--- a/packages/decisions/include/lycheelanding/decisions/intake/rateshare.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/rateshare.h
@@ -31,6 +31,8 @@
     explicit RateShare(std::uint64_t seed) : m_random(seed) { }
 
     void setRate(const SharedRate &rate, core::TimePoint now);
+    /// Whether this entry is one of those that get turns.
+    bool hasTurns() const { return m_hasTurns; }
     bool allows(core::TimePoint now) const { return m_hasTurns && now >= m_nextTurn; }
     void recordSent(core::TimePoint now);
 
--- a/packages/decisions/src/intake/backendintake.cpp
+++ b/packages/decisions/src/intake/backendintake.cpp
@@ -13,6 +13,10 @@
 constexpr std::chrono::seconds unreadableReportInterval{10};
 /// More than the number of entries that run usually, as long as it is not known.
 constexpr std::size_t assumedEntries = 8;
+/// How long an entry without turns relies on the others to report the end of a limit, and the interval at which these
+/// entries find out for themselves, one after the other.
+constexpr std::chrono::seconds minProbeDelay{30};
+constexpr std::chrono::seconds probeInterval{4};
 /// Many sides report the same sums.
 constexpr std::chrono::milliseconds updateInterval{250};
 
@@ -36,6 +40,7 @@
         services.insert(limit.service);
     }
     std::vector<ServiceDemand> demands;
+    demands.reserve(services.size());
     for (const auto &service : services) {
         demands.push_back(m_demand.report(service, now));
     }
@@ -60,28 +65,39 @@
     }
 }
 
-SharedRate BackendIntake::sharedRate(const BackendId &id, const Limit &limit, core::TimePoint now) const
+core::Duration BackendIntake::probeDelay(const BackendId &id) const
+{
+    return minProbeDelay + probeInterval * static_cast<std::int64_t>(positionAt(id).index);
+}
+
+EntryPosition BackendIntake::positionAt(const BackendId &id) const
 {
-    // Another entry is the first one at each backend server.
     const auto entries = std::max<std::size_t>(m_position.entries, 1);
     const auto offset = static_cast<std::size_t>(core::stableHash(id.text()) % entries);
-    return {limit.perSecond,
-            {entries, (m_position.index + offset) % entries},
-            m_demand.fraction(limit.service, entries, now)};
+    return {entries, (m_position.index + offset) % entries};
 }
 
-LimitChange BackendIntake::limitStated(const BackendId &id, const core::ServiceId &service, double perSecond,
-                                       core::TimePoint now)
+SharedRate BackendIntake::sharedRate(const BackendId &id, const Limit &limit, core::TimePoint now) const
 {
-    const auto [found, isNew]
-        = m_limits.try_emplace(id, Limit{service, perSecond, now, now, RateShare(m_random.next())});
+    const auto position = positionAt(id);
+    return {limit.perSecond, position, m_demand.fraction(limit.service, position.entries, now)};
+}
+
+LimitChange BackendIntake::limitStated(const StatedLimit &stated, core::TimePoint now)
+{
+    const auto [found, isNew] = m_limits.try_emplace(
+        stated.backend, Limit{stated.service, stated.perSecond, now, stated.at, RateShare(m_random.next())});
     auto &limit = found->second;
-    limit.lastStated = now;
-    if (!isNew && limit.perSecond == perSecond) {
+    if (!isNew && stated.at < limit.lastStated) {
         return LimitChange::None;
     }
-    limit.perSecond = perSecond;
-    limit.share.setRate(sharedRate(id, limit, now), now);
+    limit.lastStated = stated.at;
+    limit.nextProbe = now + probeDelay(stated.backend);
+    if (!isNew && limit.perSecond == stated.perSecond) {
+        return LimitChange::None;
+    }
+    limit.perSecond = stated.perSecond;
+    limit.share.setRate(sharedRate(stated.backend, limit, now), now);
     return LimitChange::Stated;
 }
 
@@ -109,7 +125,11 @@
 bool BackendIntake::mayReceive(const BackendId &id, core::TimePoint now) const
 {
     const auto found = m_limits.find(id);
-    return found == m_limits.end() || found->second.share.allows(now);
+    if (found == m_limits.end()) {
+        return true;
+    }
+    const auto &limit = found->second;
+    return limit.share.hasTurns() ? limit.share.allows(now) : now >= limit.nextProbe;
 }
 
 void BackendIntake::recordSent(const BackendId &id, core::TimePoint now)
@@ -117,6 +137,7 @@
     const auto found = m_limits.find(id);
     if (found != m_limits.end()) {
         found->second.share.recordSent(now);
+        found->second.nextProbe = now + probeDelay(id);
         ++found->second.sent;
     }
 }
--- a/packages/decisions/src/intake/rateshare.cpp
+++ b/packages/decisions/src/intake/rateshare.cpp
@@ -16,9 +16,9 @@
 /// Unused turns of this time may be used later, and the last one at any time.
 constexpr core::Duration reserveTime = std::chrono::seconds(1);
 /// What all entries together may have in reserve, in seconds of the rate and in requests: the users' rule allows half
-/// as much again as the rate over 4 s, and 5 requests. One is kept back for a request that is on its way.
+/// as much again as the rate over 4 s, and 5 requests. The rest is for the probes of entries without turns.
 constexpr double maxReserveSeconds = 2.0;
-constexpr double maxReserveRequests = 4.0;
+constexpr double maxReserveRequests = 3.0;
 /// An entry that gets turns in place of another one waits until those of the other are no longer counted.
 constexpr core::Duration countedTime = std::chrono::seconds(4);
 
--- a/packages/decisions/tests/intake/ratesharetest.cpp
+++ b/packages/decisions/tests/intake/ratesharetest.cpp
@@ -33,6 +33,7 @@
                         [](const std::vector<int> &weights) {
                             const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
                             std::vector<double> fractions;
+                            fractions.reserve(weights.size());
                             for (const int weight : weights) {
                                 fractions.push_back(weight / sum);
                             }
--- a/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
@@ -36,7 +36,7 @@
     /// `fields`: those of the request; the attempt adds the backend server's name.
     void send(const http::HttpRequest &request, ForwardedFields fields, http::AnswerHandlers handlers);
 
-    void recordHead(http::AnswerHead head, core::TimePoint now);
+    void recordHead(http::AnswerHead head);
     /// The answer cannot follow the parts of earlier attempts.
     void rejectAnswer() { m_answerClass = AnswerClass::Invalid; }
     /// `interval`: since the part before, if it is an event of the same stream.
@@ -51,9 +51,6 @@
     void end(Outcome outcome, core::TimePoint now);
 
 private:
-    void recordLimit(core::TimePoint now);
-    void recordLimit(const RequestLimit &limit, core::TimePoint now);
-
     ForwardingResources m_resources;
     const decisions::attempts::AttemptNumber m_number;
     const ReservedBackend m_reserved;
--- /dev/null
+++ b/packages/forwarding/include/lycheelanding/forwarding/limittracker.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "lycheelanding/core/clock.h"
+#include "lycheelanding/forwarding/answerclass.h"
+#include "lycheelanding/forwarding/backendset.h"
+#include "lycheelanding/forwarding/eventlog.h"
+#include "lycheelanding/report/metrics.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+
+namespace lycheelanding::forwarding {
+
+/// What one entry has learnt of a backend server's limit from an answer.
+struct LimitReport
+{
+    BackendId backend;
+    /// Tells its incarnations apart.
+    std::uint64_t startedAtMs = 0;
+    /// Requests per second; nullopt if the answer states no limit.
+    std::optional<double> perSecond;
+    /// When the answer that states it arrived, or when the request was sent whose answer states none.
+    core::TimePoint time;
+};
+
+/// Reads limits of requests from the answers of backend servers and from the reports of other entries, and logs their
+/// changes. Used on one thread.
+class LimitTracker
+{
+public:
+    LimitTracker(BackendSet &backends, EventLog &log, report::Metrics &metrics)
+        : m_backends(backends), m_log(log), m_metrics(metrics)
+    { }
+
+    /// The handler passes changes that this entry has learnt from answers on to the other entries.
+    void setReportHandler(std::function<void(const LimitReport &)> handler) { m_onReport = std::move(handler); }
+
+    /// `sentAt`: when the request was sent.
+    void answered(const BackendId &id, const http::AnswerHead &head, const FieldNames &names, core::TimePoint sentAt);
+    /// Applies a report of another entry.
+    void apply(const LimitReport &report);
+
+private:
+    /// Returns whether it changes what this entry knows.
+    bool applyChange(const LimitReport &report);
+
+    core::SystemClock m_clock;
+    BackendSet &m_backends;
+    EventLog &m_log;
+    report::Metrics &m_metrics;
+    std::function<void(const LimitReport &)> m_onReport;
+};
+
+} // namespace lycheelanding::forwarding
--- a/packages/forwarding/src/backendattempt.cpp
+++ b/packages/forwarding/src/backendattempt.cpp
@@ -1,8 +1,5 @@
 #include "lycheelanding/forwarding/backendattempt.h"
 
-#include <algorithm>
-#include <cmath>
-#include <cstdint>
 #include <string>
 #include <utility>
 
@@ -13,13 +10,6 @@
 /// A backend server that crashes under a prompt may still send the first part of an answer to it.
 constexpr std::size_t minPartsOfProgress = 2;
 
-std::int64_t perMinute(double perSecond)
-{
-    constexpr double secondsPerMinute = 60.0;
-    constexpr double largest = 1e15;
-    return std::llround(std::min(perSecond * secondsPerMinute, largest));
-}
-
 } // namespace
 
 BackendAttempt::BackendAttempt(const ForwardingResources &resources, decisions::attempts::AttemptNumber number,
@@ -48,7 +38,7 @@
                        std::move(handlers));
 }
 
-void BackendAttempt::recordHead(http::AnswerHead head, core::TimePoint now)
+void BackendAttempt::recordHead(http::AnswerHead head)
 {
     m_answerClass = classifyAnswer(head, m_resources.names);
     m_head = std::move(head);
@@ -56,42 +46,9 @@
     if (m_answerClass != AnswerClass::Misdirected && isLeaving(m_head, m_resources.names)) {
         m_resources.onLeaving(backend());
     }
-    // It may have been removed since the request was sent.
-    if (isOwnAnswer(m_answerClass) && m_resources.backends.all().contains(backend())) {
-        recordLimit(now);
-    }
-}
-
-void BackendAttempt::recordLimit(core::TimePoint now)
-{
-    if (const auto limit = statedLimit(m_head, m_resources.names)) {
-        recordLimit(*limit, now);
-    } else if (const auto ended = m_resources.backends.intake().noLimitStated(backend(), m_startedAt, now)) {
-        const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(ended->duration);
-        m_resources.log.write(LogImportance::State, "backendLimitEnded",
-                              {{"backend", backend().text()},
-                               {"limitedMs", duration.count()},
-                               {"sent", static_cast<std::int64_t>(ended->sent)}});
-    }
-}
-
-void BackendAttempt::recordLimit(const RequestLimit &limit, core::TimePoint now)
-{
-    auto &intake = m_resources.backends.intake();
-    const auto *perSecond = std::get_if<double>(&limit);
-    if (perSecond == nullptr) {
-        if (intake.limitUnreadable(backend(), now)) {
-            m_resources.log.write(LogImportance::State, "backendLimitUnreadable", {{"backend", backend().text()}});
-        }
-        return;
-    }
-    if (intake.limitStated(backend(), m_resources.backends.all().at(backend()).service, *perSecond, now)
-        == decisions::intake::LimitChange::None) {
-        return;
+    if (isOwnAnswer(m_answerClass)) {
+        m_resources.limits.answered(backend(), m_head, m_resources.names, m_startedAt);
     }
-    m_resources.metrics.increment(report::Counter::BackendLimitsStated);
-    m_resources.log.write(LogImportance::State, "backendLimited",
-                          {{"backend", backend().text()}, {"requestsPerMinute", perMinute(*perSecond)}});
 }
 
 void BackendAttempt::recordBodyPart(std::uint64_t promptTokens, std::optional<core::Duration> interval,
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -208,7 +208,7 @@
         return;
     }
     m_framing = head.framing;
-    m_attempt->recordHead(std::move(head), now());
+    m_attempt->recordHead(std::move(head));
     if (m_attempt->answerClass() == AnswerClass::Valid && !m_answer.canContinueWith(m_attempt->head())) {
         m_attempt->rejectAnswer();
     }
--- /dev/null
+++ b/packages/forwarding/src/limittracker.cpp
@@ -0,0 +1,81 @@
+#include "lycheelanding/forwarding/limittracker.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace lycheelanding::forwarding {
+
+namespace {
+
+std::int64_t perMinute(double perSecond)
+{
+    constexpr double secondsPerMinute = 60.0;
+    constexpr double largest = 1e15;
+    return std::llround(std::min(perSecond * secondsPerMinute, largest));
+}
+
+} // namespace
+
+void LimitTracker::answered(const BackendId &id, const http::AnswerHead &head, const FieldNames &names,
+                            core::TimePoint sentAt)
+{
+    const auto backend = m_backends.all().find(id);
+    if (backend == m_backends.all().end()) {
+        // It was removed after the request was sent.
+        return;
+    }
+    const auto now = m_clock.now();
+    const auto limit = statedLimit(head, names);
+    if (limit && std::holds_alternative<std::monostate>(*limit)) {
+        if (m_backends.intake().limitUnreadable(id, now)) {
+            m_log.write(LogImportance::State, "backendLimitUnreadable", {{"backend", id.text()}});
+        }
+        return;
+    }
+    LimitReport report{id, backend->second.startedAtMs, std::nullopt, sentAt};
+    if (limit) {
+        report.perSecond = std::get<double>(*limit);
+        report.time = now;
+    }
+    if (applyChange(report) && m_onReport) {
+        m_onReport(report);
+    }
+}
+
+void LimitTracker::apply(const LimitReport &report)
+{
+    const auto backend = m_backends.all().find(report.backend);
+    if (backend != m_backends.all().end() && backend->second.startedAtMs == report.startedAtMs) {
+        applyChange(report);
+    }
+}
+
+bool LimitTracker::applyChange(const LimitReport &report)
+{
+    using decisions::intake::LimitChange;
+    auto &intake = m_backends.intake();
+    const auto now = m_clock.now();
+    const auto &id = report.backend;
+    if (report.perSecond) {
+        const auto &service = m_backends.all().at(id).service;
+        if (intake.limitStated({id, service, *report.perSecond, report.time}, now) == LimitChange::None) {
+            return false;
+        }
+        m_metrics.increment(report::Counter::BackendLimitsStated);
+        m_log.write(LogImportance::State, "backendLimited",
+                    {{"backend", id.text()}, {"requestsPerMinute", perMinute(*report.perSecond)}});
+        return true;
+    }
+    const auto ended = intake.noLimitStated(id, report.time, now);
+    if (ended) {
+        const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(ended->duration);
+        m_log.write(LogImportance::State, "backendLimitEnded",
+                    {{"backend", id.text()},
+                     {"limitedMs", duration.count()},
+                     {"sent", static_cast<std::int64_t>(ended->sent)}});
+    }
+    return ended.has_value();
+}
+
+} // namespace lycheelanding::forwarding
--- a/packages/forwarding/tests/limitedbackendstest.cpp
+++ b/packages/forwarding/tests/limitedbackendstest.cpp
@@ -128,6 +128,24 @@
     }
 }
 
+// The same when the entries hear nothing of each other's answers.
+TEST(LimitedBackends, limitIsKeptWithoutReportsOfOtherEntries)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        LimitedFleetOptions options;
+        options.backends = 8;
+        options.limitedBackends = 8;
+        options.limit = 0.5;
+        options.arrivals.assign(22, 2.0);
+        options.limitedFor = 70s;
+        options.playTime = 90s;
+        options.areReportsLost = true;
+        options.seed = seed;
+        const LimitedFleet fleet(options);
+        EXPECT_LE(fleet.largestExcess(), 0.0) << "seed " << seed;
+    }
+}
+
 // The same after a time without requests, in which no entry has used its part of the limit.
 TEST(LimitedBackends, burstAfterAQuietTimeKeepsToTheLimit)
 {
@@ -145,6 +163,23 @@
     }
 }
 
+// Entries that get no turns of a small limit have no answers that show its end: they refused requests for good.
+TEST(LimitedBackends, allEntriesLearnOfTheEndOfALimit)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        LimitedFleetOptions options;
+        options.backends = 8;
+        options.limitedBackends = 8;
+        options.limit = 0.5;
+        options.arrivals.assign(22, 2.0);
+        options.limitedFor = 10s;
+        options.seed = seed;
+        const LimitedFleet fleet(options);
+        // The waiting time of requests that arrived before, and one turn of the entries that have some.
+        EXPECT_EQ(fleet.refusedSince(options.limitedFrom + options.limitedFor + 5s), 0U) << "seed " << seed;
+    }
+}
+
 // Callers do not spread evenly over the entries. With even shares, entries with many of them refused requests while the
 // shares of the others were left unused.
 TEST(LimitedBackends, entriesWithUnevenDemandUseTheWholeLimit)
--- a/packages/forwarding/tests/limitedfleet.h
+++ b/packages/forwarding/tests/limitedfleet.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <numeric>
@@ -43,6 +44,8 @@
     /// No requests arrive from then on, for `quietFor`.
     core::Duration quietFrom = std::chrono::seconds(1000);
     core::Duration quietFor{};
+    /// Whether entries learn of limits from their own answers alone.
+    bool areReportsLost = false;
     core::Duration playTime = std::chrono::seconds(40);
     std::uint64_t seed = 1;
 };
@@ -86,6 +89,13 @@
         return excess;
     }
 
+    /// Requests refused from `from` of the play on.
+    std::size_t refusedSince(core::Duration from) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_refusals.begin(), m_refusals.end(), [from](auto at) { return at - start >= from; }));
+    }
+
     std::size_t arrived = 0;
     std::size_t answered = 0;
     std::size_t refused = 0;
@@ -135,6 +145,7 @@
         void onWaitTimeout()
         {
             ++m_entry.fleet.refused;
+            m_entry.fleet.m_refusals.push_back(m_entry.fleet.m_now);
             m_entry.fleet.longestRefusedWait
                 = std::max(m_entry.fleet.longestRefusedWait, m_entry.fleet.m_now - m_arrival);
         }
@@ -241,9 +252,23 @@
         backends.recordFirstEvent(event.attempt, 1, m_now);
         if (event.statedLimit) {
             backend.toldAt.try_emplace(event.entry, m_now);
-            backends.intake().limitStated(event.backend, m_service, *event.statedLimit, m_now);
-        } else {
-            backends.intake().noLimitStated(event.backend, event.sentAt, m_now);
+            const decisions::intake::StatedLimit stated{event.backend, m_service, *event.statedLimit, m_now};
+            if (backends.intake().limitStated(stated, m_now) == decisions::intake::LimitChange::Stated) {
+                report([stated](auto &intake, auto now) { intake.limitStated(stated, now); });
+            }
+        } else if (backends.intake().noLimitStated(event.backend, event.sentAt, m_now)) {
+            report([event](auto &intake, auto now) { intake.noLimitStated(event.backend, event.sentAt, now); });
+        }
+    }
+
+    /// Sides relay a report to the other entries.
+    void report(const std::function<void(decisions::intake::BackendIntake &, core::TimePoint)> &apply)
+    {
+        if (m_options.areReportsLost) {
+            return;
+        }
+        for (const auto &entry : m_entries) {
+            apply(entry->backends.intake(), m_now);
         }
     }
 
@@ -308,6 +333,7 @@
     const core::ServiceId m_service{"app"};
     core::RandomSequence m_random;
     core::TimePoint m_now = start;
+    std::vector<core::TimePoint> m_refusals;
     core::TimePoint m_nextStatus = start;
     core::TimePoint m_nextDemands = start;
     std::vector<decisions::intake::TotalDemand> m_totals;
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
@@ -81,9 +81,18 @@
     std::uint32_t ageMs = 0;
 };
 
+/// The same way: a backend server states a limit of requests in its answers, or does no longer.
+struct LimitNotice
+{
+    std::string backend;
+    std::uint64_t startedAtMs = 0;
+    std::optional<double> perSecond;
+    std::uint32_t ageMs = 0;
+};
+
 /// CountsReport: from a side to its collector, and from a collector to the group's leader.
 using Datagram = std::variant<Subscription, RankStatus, CommandOrder, CommandReply, CountsReport, CrashNotice,
-                              ProgressNotice, ProbeNotice>;
+                              ProgressNotice, ProbeNotice, LimitNotice>;
 
 /// Guards against foreign bytes: larger datagrams are rejected before decoding, and a text or list in one that claims
 /// to be longer is not allocated.
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankstatusreceiver.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankstatusreceiver.h
@@ -12,8 +12,8 @@
 namespace lycheelanding::rankgroups {
 
 /// Subscribes an entry to the sides of its backend servers and applies their status updates to the entry; exchanges
-/// reports on prompts that crash backend servers with the other entries, which the sides relay. A side has the IP
-/// address of its backend server. Used on the thread of the io_context.
+/// reports with the other entries, which the sides relay: on prompts that crash backend servers, and on limits of
+/// backend servers. A side has the IP address of its backend server. Used on the thread of the io_context.
 class RankStatusReceiver
 {
 public:
@@ -30,6 +30,7 @@
     void relay(const decisions::quarantine::CrashReport &report);
     void relay(const decisions::quarantine::ProgressReport &report);
     void relay(const decisions::quarantine::ProbeReport &report);
+    void relay(const forwarding::LimitReport &report);
     void repeatHeldReports();
     std::uint32_t ageMsOf(core::TimePoint time) const;
     void onStatus(const std::string &ip, const RankStatus &status);
--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -321,6 +321,17 @@
     loadNotice(archive, notice);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, LimitNotice &notice)
+{
+    serializeText(archive, notice.backend);
+    bool isLimited = notice.perSecond.has_value();
+    double perSecond = notice.perSecond.value_or(0.0);
+    archive(notice.startedAtMs, notice.ageMs, isLimited);
+    serializeRate(archive, perSecond);
+    notice.perSecond = isLimited ? std::optional(perSecond) : std::nullopt;
+}
+
 std::string encodeDatagram(const Datagram &datagram)
 {
     std::ostringstream stream;
--- a/packages/rankgroups/src/rankstatusreceiver.cpp
+++ b/packages/rankgroups/src/rankstatusreceiver.cpp
@@ -32,6 +32,7 @@
     m_entry.prompts().setReportHandlers({[this](const auto &report) { relay(report); },
                                          [this](const auto &report) { relay(report); },
                                          [this](const auto &report) { relay(report); }});
+    m_entry.limits().setReportHandler([this](const auto &report) { relay(report); });
 }
 
 void RankStatusReceiver::onDatagram(const std::string &ip, const Datagram &datagram)
@@ -47,6 +48,9 @@
     } else if (const auto *probe = std::get_if<ProbeNotice>(&datagram)) {
         const auto time = m_clock.now() - std::chrono::milliseconds(probe->ageMs);
         m_entry.prompts().apply(ProbeReport{probe->parts, time});
+    } else if (const auto *limit = std::get_if<LimitNotice>(&datagram)) {
+        const auto time = m_clock.now() - std::chrono::milliseconds(limit->ageMs);
+        m_entry.limits().apply({forwarding::BackendId(limit->backend), limit->startedAtMs, limit->perSecond, time});
     }
 }
 
@@ -140,6 +144,11 @@
     relay(Datagram(ProbeNotice{report.parts, ageMsOf(report.time)}));
 }
 
+void RankStatusReceiver::relay(const forwarding::LimitReport &report)
+{
+    relay(Datagram(LimitNotice{report.backend.text(), report.startedAtMs, report.perSecond, ageMsOf(report.time)}));
+}
+
 void RankStatusReceiver::repeatHeldReports()
 {
     for (const auto &report : m_entry.prompts().heldReports()) {
--- a/packages/rankgroups/src/sideserver.cpp
+++ b/packages/rankgroups/src/sideserver.cpp
@@ -46,7 +46,7 @@
 bool isForEntries(const Datagram &datagram)
 {
     return std::holds_alternative<CrashNotice>(datagram) || std::holds_alternative<ProgressNotice>(datagram)
-        || std::holds_alternative<ProbeNotice>(datagram);
+        || std::holds_alternative<ProbeNotice>(datagram) || std::holds_alternative<LimitNotice>(datagram);
 }
 
 CommandLink commandLinkOf(const SideServerSettings &settings)
--- a/packages/rankgroups/src/statussubscribers.cpp
+++ b/packages/rankgroups/src/statussubscribers.cpp
@@ -55,6 +55,7 @@
         }
     }
     std::vector<decisions::intake::TotalDemand> result;
+    result.reserve(totals.size());
     for (auto &[service, total] : totals) {
         result.push_back(std::move(total));
     }
--- a/packages/rankgroups/tests/crashnoticestest.cpp
+++ b/packages/rankgroups/tests/crashnoticestest.cpp
@@ -1,71 +1,20 @@
-#include "lycheelanding/rankgroups/rankstatusreceiver.h"
-#include "lycheelanding/rankgroups/sideserver.h"
+#include "relayingside.h"
 
 #include <gtest/gtest.h>
 
-#include <memory>
-
 namespace lycheelanding::rankgroups {
 
 namespace {
 
-using namespace std::chrono_literals;
 using decisions::quarantine::CrashReport;
 using decisions::quarantine::PromptPart;
 using decisions::quarantine::PromptParts;
 
 const PromptParts parts{PromptPart("common"), PromptPart("bad")};
-const std::string sideIp = "127.0.0.53";
-
-/// A port that is free on the side's address now.
-std::uint16_t freePort(asio::io_context &context)
-{
-    const asio::ip::udp::socket socket(context, {asio::ip::make_address(sideIp), 0});
-    return socket.local_endpoint().port();
-}
-
-EngineInterface silentEngine()
-{
-    EngineInterface engine;
-    engine.readReport = [](const auto &, auto onReport) { onReport(std::nullopt); };
-    return engine;
-}
 
-/// An entry with one backend server, beside which the side runs.
-struct Entry
+bool isHeld(Entry &entry)
 {
-    Entry(asio::io_context &context, const std::string &ip, std::uint16_t port)
-        : log(-1, ip), server(context, forwarding::EntryServerSettings(), log), receiver(context, server, port)
-    {
-        forwarding::ForwardingConfiguration configuration;
-        configuration.version = core::ConfigurationVersion(1);
-        configuration.services = {{core::ServiceId("drafts"), 0, forwarding::ModelShape()}};
-        server.installConfiguration(configuration);
-        forwarding::RegisteredBackend backend;
-        backend.id = forwarding::BackendId("backend-1");
-        backend.service = core::ServiceId("drafts");
-        backend.address = sideIp + ":8000";
-        server.applyBackendChanges({decisions::membership::BackendUsable{backend}});
-        isOpen = core::isOk(receiver.open(ip));
-    }
-
-    bool isHeld() { return server.prompts().holdTime(parts).has_value(); }
-
-    forwarding::EventLog log;
-    forwarding::EntryServer server;
-    RankStatusReceiver receiver;
-    bool isOpen = false;
-};
-
-template <typename Condition>
-bool runUntil(asio::io_context &context, Condition condition)
-{
-    constexpr int maxRounds = 1000;
-    for (int round = 0; round < maxRounds && !condition(); ++round) {
-        context.run_one_for(10ms);
-        context.restart();
-    }
-    return condition();
+    return entry.server.prompts().holdTime(parts).has_value();
 }
 
 } // namespace
@@ -95,27 +44,21 @@
 TEST(CrashNotices, sideRelaysThemBetweenEntries)
 {
     asio::io_context context{1};
-    const auto port = freePort(context);
-    forwarding::EventLog log(-1, "side");
-    SideServerSettings settings;
-    settings.ip = sideIp;
-    settings.datagramPort = port;
-    SideServer side(context, settings, silentEngine(), LeaderStoreInterface(), log);
-    ASSERT_TRUE(core::isOk(side.start()));
-    Entry first(context, "127.0.0.51", port);
-    Entry second(context, "127.0.0.52", port);
-    ASSERT_TRUE(first.isOpen && second.isOpen);
+    const RelayingSide side(context);
+    Entry first(context, "127.0.0.51", side.port);
+    Entry second(context, "127.0.0.52", side.port);
+    ASSERT_TRUE(side.isOpen && first.isOpen && second.isOpen);
 
     core::SystemClock clock;
     for (const auto *backend : {"b1", "b2"}) {
         first.server.prompts().apply(CrashReport{backend, parts, clock.now()});
     }
-    ASSERT_TRUE(first.isHeld());
-    EXPECT_TRUE(runUntil(context, [&] { return second.isHeld(); }));
+    ASSERT_TRUE(isHeld(first));
+    EXPECT_TRUE(runUntil(context, [&] { return isHeld(second); }));
 
     first.server.prompts().answerProgressed(parts);
-    ASSERT_FALSE(first.isHeld());
-    EXPECT_TRUE(runUntil(context, [&] { return !second.isHeld(); }));
+    ASSERT_FALSE(isHeld(first));
+    EXPECT_TRUE(runUntil(context, [&] { return !isHeld(second); }));
 }
 
 } // namespace lycheelanding::rankgroups
--- a/packages/rankgroups/tests/rankdatagramstest.cpp
+++ b/packages/rankgroups/tests/rankdatagramstest.cpp
@@ -71,6 +71,19 @@
     EXPECT_EQ(std::get<Subscription>(*decoded).demands, subscription.demands);
 }
 
+TEST(RankDatagramsTest, limitNoticeIsTheSameAfterDecoding)
+{
+    for (const auto &limit : {std::optional(2.5), std::optional<double>()}) {
+        const auto decoded = decodeDatagram(encodeDatagram(LimitNotice{"backend-1", 1791239588007, limit, 42}));
+        ASSERT_TRUE(decoded && std::holds_alternative<LimitNotice>(*decoded));
+        const auto &result = std::get<LimitNotice>(*decoded);
+        EXPECT_EQ(result.backend, "backend-1");
+        EXPECT_EQ(result.startedAtMs, 1791239588007U);
+        EXPECT_EQ(result.perSecond, limit);
+        EXPECT_EQ(result.ageMs, 42U);
+    }
+}
+
 TEST(RankDatagramsTest, countsAreTheSameAfterDecoding)
 {
     const auto report = countsOfARank();
