A request whose backend server leaves before its connection is open chooses again

It was sent all the same: the choice was not looked at again once the connection had opened, up to a second later. RequestAttempts::withdrawn takes an attempt back of which no byte was handed over; it costs no attempt of the route and no retry budget. LeavingBackends.chosenBackendThatLeavesBeforeItsConnectionIsOpenGetsNoRequest failed before.

--- a/packages/decisions/include/lycheelanding/decisions/attempts/requestattempts.h
+++ b/packages/decisions/include/lycheelanding/decisions/attempts/requestattempts.h
@@ -73,6 +73,8 @@
     AttemptActions readyToSend(AttemptNumber attempt);
     /// No byte was handed to a connection, nor will be: no side was found, or the connection provably never opened.
     AttemptActions notSent(AttemptNumber attempt, const core::Error &error, core::TimePoint now);
+    /// The attempt is taken back before a byte was handed to its connection. Another one may start at once.
+    void withdrawn(AttemptNumber attempt);
     /// The side refused the request before it handed the request to the backend server.
     AttemptActions refused(AttemptNumber attempt, const core::Error &error, core::TimePoint now);
     /// The connection was lost, or the answer was broken.
--- a/packages/decisions/src/attempts/requestattempts.cpp
+++ b/packages/decisions/src/attempts/requestattempts.cpp
@@ -38,6 +38,13 @@
     return actions;
 }
 
+void RequestAttempts::withdrawn(AttemptNumber attempt)
+{
+    if (isCurrent(attempt) && !m_isSent) {
+        m_isInProgress = false;
+    }
+}
+
 AttemptActions RequestAttempts::refused(AttemptNumber attempt, const core::Error &error, core::TimePoint now)
 {
     // A side that has started to answer has admitted the request, so a refusal afterwards counts as a loss. With a
--- a/packages/decisions/tests/attempts/requestattemptstest.cpp
+++ b/packages/decisions/tests/attempts/requestattemptstest.cpp
@@ -240,6 +240,20 @@
     EXPECT_TRUE(simulation.isDone());
 }
 
+TEST(RequestAttemptsTest, withdrawnAttemptHasNotRunAndMakesRoomForAnother)
+{
+    RequestAttempts request({false, deadline});
+    const auto first = request.attemptStarted();
+    request.withdrawn(first);
+    EXPECT_TRUE(std::holds_alternative<CancelAttempt>(request.readyToSend(first).front()));
+    EXPECT_FALSE(request.mayHaveRun());
+    const auto second = request.attemptStarted();
+    EXPECT_TRUE(std::holds_alternative<SendRequest>(request.readyToSend(second).front()));
+    request.withdrawn(second);
+    EXPECT_TRUE(request.mayHaveRun()) << "its first byte was handed over";
+    EXPECT_TRUE(std::holds_alternative<RequestDone>(request.answered(second).front()));
+}
+
 TEST(RequestAttemptsTest, refusalAfterALossIsAnsweredAsUnknown)
 {
     RequestAttempts attempts({true, deadline});
--- a/packages/decisions/tests/membership/backenddirectorytest.cpp
+++ b/packages/decisions/tests/membership/backenddirectorytest.cpp
@@ -93,6 +93,9 @@
     EXPECT_TRUE(directory.listed({backend}, start + 5min).empty());
     directory.registryRestored(start + 5min);
     EXPECT_TRUE(directory.listed({backend}, start + 5min).empty());
+    directory.registryLost();
+    directory.registryRegained(start + 5min);
+    EXPECT_TRUE(directory.listed({backend}, start + 5min).empty());
     EXPECT_EQ(directory.usableCount(), 0U);
 
     backend.startedAtMs = 2000;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -51,7 +51,6 @@
     void startAttempt();
     /// Gives up the request if its prompt is held; returns whether it was.
     bool giveUpHeldPrompt();
-    std::optional<core::Error> heldPromptError() const;
     std::optional<ReservedBackend> reserveReplacement(const core::Error &error, core::Duration inactivity);
     std::optional<RetryDenial> retryDenial() const;
     decisions::retry::FailedAttempt failedAttempt(const core::Error &error, core::Ran ran) const;
--- a/packages/forwarding/include/lycheelanding/forwarding/promptguard.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/promptguard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheelanding/core/clock.h"
+#include "lycheelanding/core/result.h"
 #include "lycheelanding/decisions/quarantine/promptquarantine.h"
 #include "lycheelanding/forwarding/crashdetector.h"
 #include "lycheelanding/forwarding/eventlog.h"
@@ -33,6 +34,8 @@
 
     /// How long a request is held; nullopt if it may be sent now.
     std::optional<core::Duration> holdTime(const decisions::quarantine::PromptParts &parts) const;
+    /// The error of a request that is held, with its hold time; nullopt if it may be sent now.
+    std::optional<core::Error> holdError(const decisions::quarantine::PromptParts &parts) const;
     void requestSent(const decisions::quarantine::PromptParts &parts);
     void answerProgressed(const decisions::quarantine::PromptParts &parts);
     void attemptLost(const LostAttempt &attempt);
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -83,19 +83,9 @@
     return request;
 }
 
-std::optional<core::Error> ForwardedExchange::heldPromptError() const
-{
-    const auto holdTime = m_resources.prompts.holdTime(m_terms.promptParts);
-    if (!holdTime) {
-        return std::nullopt;
-    }
-    return core::Error{core::ErrorKind::PromptHeld, "backend servers crashed under prompts with the same part",
-                       std::chrono::duration_cast<std::chrono::milliseconds>(*holdTime)};
-}
-
 bool ForwardedExchange::giveUpHeldPrompt()
 {
-    const auto error = heldPromptError();
+    const auto error = m_resources.prompts.holdError(m_terms.promptParts);
     if (error) {
         execute(m_attempts->giveUp(*error));
     }
@@ -172,6 +162,14 @@
         execute(m_attempts->notSent(attempt, core::errorOf(status), now()));
         return;
     }
+    if (!m_resources.backends.all().contains(m_attempt->backend())) {
+        // It has left since it was chosen.
+        m_tried.pop_back();
+        endAttempt(Outcome::Cancelled);
+        m_attempts->withdrawn(attempt);
+        startAttempt();
+        return;
+    }
     execute(m_attempts->readyToSend(attempt));
 }
 
@@ -303,7 +301,7 @@
     if (!m_attempt || m_attempt->bodyParts() > 0) {
         return;
     }
-    if (const auto error = heldPromptError()) {
+    if (const auto error = m_resources.prompts.holdError(m_terms.promptParts)) {
         const auto attempt = m_attempt->number();
         endAttempt(Outcome::Cancelled);
         execute(m_attempts->lost(attempt, *error, now()));
@@ -378,7 +376,7 @@
     if (m_tried.size() >= m_terms.route->maxAttempts) {
         return RetryDenial::AttemptsUsed;
     }
-    if (heldPromptError()) {
+    if (m_resources.prompts.holdError(m_terms.promptParts)) {
         return RetryDenial::PromptHeld;
     }
     const bool canResume = !m_answer.hasBegun() || m_answer.lastEvent();
--- a/packages/forwarding/src/promptguard.cpp
+++ b/packages/forwarding/src/promptguard.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheelanding/forwarding/forwardedfields.h"
 
+#include <chrono>
 #include <utility>
 
 namespace lycheelanding::forwarding {
@@ -30,6 +31,16 @@
     return m_quarantine.isEmpty() ? std::nullopt : m_quarantine.holdTime(parts, m_clock.now());
 }
 
+std::optional<core::Error> PromptGuard::holdError(const PromptParts &parts) const
+{
+    const auto time = holdTime(parts);
+    if (!time) {
+        return std::nullopt;
+    }
+    return core::Error{core::ErrorKind::PromptHeld, "backend servers crashed under prompts with the same part",
+                       std::chrono::duration_cast<std::chrono::milliseconds>(*time)};
+}
+
 void PromptGuard::requestSent(const PromptParts &parts)
 {
     const auto now = m_clock.now();
--- a/packages/forwarding/tests/leavingbackendstest.cpp
+++ b/packages/forwarding/tests/leavingbackendstest.cpp
@@ -48,6 +48,28 @@
     }
 }
 
+// A request had chosen its backend server and waited for a connection when the entry learnt that the backend server
+// leaves. It was sent all the same, seconds later where connections open slowly.
+TEST(LeavingBackends, chosenBackendThatLeavesBeforeItsConnectionIsOpenGetsNoRequest)
+{
+    EntrySimulation simulation;
+    simulation.configure(RouteKind::NonIdempotent);
+    auto &first = simulation.addBackend([](const std::string &) { return ScriptedResponse{backendAnswer("first")}; });
+    auto socket = simulation.connect();
+    asio::write(socket, asio::buffer(callerRequest("POST", "release")));
+    simulation.runUntil(
+        [&simulation] { return simulation.entry().metrics().value(report::Counter::ConnectionsOpened) == 1; });
+    auto &second = simulation.addBackend([](const std::string &) { return ScriptedResponse{backendAnswer("second")}; });
+    simulation.removeBackend(1);
+    std::string answer;
+    bool isFinished = false;
+    asio::async_read(socket, asio::dynamic_buffer(answer), [&isFinished](const auto &, auto) { isFinished = true; });
+    simulation.runUntil([&isFinished] { return isFinished; });
+    EXPECT_TRUE(first.requests.empty());
+    EXPECT_EQ(second.requests.size(), 1U);
+    EXPECT_TRUE(answer.ends_with("second")) << answer;
+}
+
 // Another backend server has the address and speaks of itself.
 TEST(LeavingBackends, misdirectedAnswerSaysNothingOfTheExpectedBackend)
 {
