--- a/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
@@ -55,7 +55,7 @@
     void setLiveEntries(std::size_t entries) { m_liveEntries = std::max<std::size_t>(entries, 1); }
     void reportLoad(const core::VmId &vm, const LoadReport &report);
     /// The backend server gets no new requests. To use it again, remove it and add it as a candidate again.
-    void setLeaving(const core::VmId &vm);
+    void setLeaving(const core::VmId &vm) { m_health.leaves(vm); }
     void remove(const core::VmId &vm);
 
     /// Adds the expected tokens of the request, minus those saved by the prefix cache, to the load of the rank.
@@ -92,7 +92,6 @@
         BackendCandidate candidate;
         std::vector<Rank> ranks;
         std::size_t inFlight = 0;
-        bool isLeaving = false;
     };
 
     struct Attempt
@@ -117,6 +116,10 @@
     Rank *rankOf(const core::VmId &vm, core::RankIndex rank);
     void recordTokensDone(Attempt &attempt, std::uint64_t tokens, core::TimePoint now);
     std::vector<Target> targetsFor(const RouteRequest &request, core::TimePoint now) const;
+    bool isLeaving(const core::VmId &vm, core::TimePoint now) const
+    {
+        return m_health.availability(vm, now) == Availability::Leaving;
+    }
     bool areTooFewAvailable(const RouteRequest &request, core::TimePoint now) const;
     std::optional<Choice> probeFor(const RouteRequest &request, core::TimePoint now) const;
     void addCosts(std::vector<Target> &targets, const RouteRequest &request, core::TimePoint now) const;
--- a/packages/decisions/include/lycheelanding/decisions/routing/healthtracker.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/healthtracker.h
@@ -15,6 +15,29 @@
     /// Ejected, but due for one request that tests it.
     Probe,
     Ejected,
+    /// It gets no new requests any more.
+    Leaving,
+};
+
+/// State of a backend server, from the view of one entry:
+///
+/// | from               | event                                              | to        |
+/// |--------------------|----------------------------------------------------|-----------|
+/// | InService, SlowStart | failures in a row or at a high rate; no progress   | Ejected   |
+/// | InService, SlowStart | progress after it had stalled                      | SlowStart |
+/// | SlowStart          | a success after a time without another ejection    | InService |
+/// | Ejected            | a probe is sent, after the ejection time           | Probing   |
+/// | Probing            | a success                                          | SlowStart |
+/// | Probing            | a failure                                          | Ejected   |
+/// | Probing            | its requests end without saying anything           | Ejected   |
+/// | any                | it is known to leave                               | Leaving   |
+enum class ServerState : std::uint8_t {
+    InService,
+    /// In service with a part of its load, which grows.
+    SlowStart,
+    Ejected,
+    Probing,
+    Leaving,
 };
 
 struct HealthSettings
@@ -58,6 +81,8 @@
     void responded(const core::VmId &vm, core::Duration delay);
     void succeeded(const core::VmId &vm, core::TimePoint now);
     void failed(const core::VmId &vm, core::TimePoint now);
+    /// The backend server gets no new requests. To use it again, remove it and add it again.
+    void leaves(const core::VmId &vm);
     /// A request ended with an outcome that says nothing about the health of the backend server.
     void released(const core::VmId &vm, core::TimePoint now);
 
@@ -76,20 +101,27 @@
         double failureRate = 0.0;
         /// Smoothed delay of the first response to a request; 0 while unknown.
         double meanDelaySeconds = 0.0;
-        bool isEjected = false;
-        bool isProbing = false;
+        ServerState state = ServerState::InService;
         core::TimePoint lastProgress;
         core::TimePoint probeAt;
         core::TimePoint reinstatedAt;
-        bool isInSlowStart = false;
     };
 
+    static bool isInService(const Server &server)
+    {
+        return server.state == ServerState::InService || server.state == ServerState::SlowStart;
+    }
+    static bool isEjected(const Server &server)
+    {
+        return server.state == ServerState::Ejected || server.state == ServerState::Probing;
+    }
+
     bool isStalled(const Server &server, core::TimePoint now) const;
     core::Duration stallTimeout(const Server &server) const;
     /// Whether enough other backend servers are in service to take this one out.
     bool mayEject(const Server &server, core::TimePoint now) const;
     void eject(Server &server, core::TimePoint now);
-    void reinstate(Server &server, core::TimePoint now);
+    static void reinstate(Server &server, core::TimePoint now);
     core::Duration ejectionTime(std::uint32_t earlierEjections);
 
     HealthSettings m_settings;
--- a/packages/decisions/src/routing/backendselector.cpp
+++ b/packages/decisions/src/routing/backendselector.cpp
@@ -53,14 +53,6 @@
     }
 }
 
-void BackendSelector::setLeaving(const core::VmId &vm)
-{
-    const auto found = m_servers.find(vm);
-    if (found != m_servers.end()) {
-        found->second.isLeaving = true;
-    }
-}
-
 void BackendSelector::remove(const core::VmId &vm)
 {
     m_servers.erase(vm);
@@ -176,9 +168,7 @@
 
 bool BackendSelector::isAvailable(const core::VmId &vm, core::TimePoint now) const
 {
-    const auto found = m_servers.find(vm);
-    return found != m_servers.end() && !found->second.isLeaving
-        && m_health.availability(vm, now) == Availability::Available;
+    return m_servers.contains(vm) && m_health.availability(vm, now) == Availability::Available;
 }
 
 std::size_t BackendSelector::inFlightRequests(const core::VmId &vm) const
@@ -264,7 +254,7 @@
     std::vector<Target> targets;
     const bool ignoresHealth = areTooFewAvailable(request, now);
     for (const auto &[vm, server] : m_servers) {
-        const bool isHealthy = ignoresHealth ? !server.isLeaving : isAvailable(vm, now);
+        const bool isHealthy = ignoresHealth ? !isLeaving(vm, now) : isAvailable(vm, now);
         const bool isUsable = serves(server.candidate, request) && isHealthy;
         if (!isUsable || contains(request.excluded, vm)) {
             continue;
@@ -281,7 +271,7 @@
     std::size_t usable = 0;
     std::size_t available = 0;
     for (const auto &[vm, server] : m_servers) {
-        if (serves(server.candidate, request) && !server.isLeaving) {
+        if (serves(server.candidate, request) && !isLeaving(vm, now)) {
             ++usable;
             available += isAvailable(vm, now) ? 1 : 0;
         }
@@ -295,8 +285,7 @@
         return std::nullopt;
     }
     for (const auto &[vm, server] : m_servers) {
-        const bool isCandidate
-            = serves(server.candidate, request) && !server.isLeaving && !contains(request.excluded, vm);
+        const bool isCandidate = serves(server.candidate, request) && !contains(request.excluded, vm);
         if (isCandidate && m_health.availability(vm, now) == Availability::Probe) {
             return Choice{vm, server.ranks.front().rank, true};
         }
--- a/packages/decisions/src/routing/healthtracker.cpp
+++ b/packages/decisions/src/routing/healthtracker.cpp
@@ -40,7 +40,9 @@
         server.lastProgress = now;
     }
     ++server.inFlight;
-    server.isProbing = server.isProbing || isProbe;
+    if (isProbe && server.state == ServerState::Ejected) {
+        server.state = ServerState::Probing;
+    }
 }
 
 void HealthTracker::progressed(const core::VmId &vm, core::TimePoint now)
@@ -51,7 +53,7 @@
     }
     Server &server = found->second;
     // A server that resumes after a stall also gets a slow start, since it must first work off its queue.
-    if (!server.isEjected && isStalled(server, now) && mayEject(server, now)) {
+    if (isInService(server) && isStalled(server, now) && mayEject(server, now)) {
         reinstate(server, now);
     }
     server.lastProgress = now;
@@ -75,19 +77,20 @@
         return;
     }
     Server &server = found->second;
-    const bool wasProbing = server.isProbing;
+    const bool wasProbing = server.state == ServerState::Probing;
     progressed(vm, now);
     released(vm, now);
     server.consecutiveFailures = 0;
     server.failureRate *= 1.0 - m_settings.outcomeWeight;
     // Only the answer to a probe ends an ejection, not the late answers to requests sent before it.
-    if (server.isEjected && wasProbing) {
+    if (wasProbing) {
         reinstate(server, now);
     }
-    const bool isStable = server.isInSlowStart && now - server.reinstatedAt > m_settings.ejectionResetAfter;
+    const bool isStable
+        = server.state == ServerState::SlowStart && now - server.reinstatedAt > m_settings.ejectionResetAfter;
     if (isStable) {
         server.ejections = 0;
-        server.isInSlowStart = false;
+        server.state = ServerState::InService;
     }
 }
 
@@ -98,14 +101,14 @@
         return;
     }
     Server &server = found->second;
-    const bool wasProbing = server.isProbing;
+    const bool wasProbing = server.state == ServerState::Probing;
     released(vm, now);
     ++server.consecutiveFailures;
     server.failureRate += m_settings.outcomeWeight * (1.0 - server.failureRate);
-    if (server.isEjected) {
-        if (wasProbing) {
-            eject(server, now);
-        }
+    if (wasProbing) {
+        eject(server, now);
+    }
+    if (!isInService(server)) {
         return;
     }
     const bool fails = server.consecutiveFailures >= m_settings.consecutiveFailureThreshold
@@ -115,6 +118,14 @@
     }
 }
 
+void HealthTracker::leaves(const core::VmId &vm)
+{
+    const auto found = m_servers.find(vm);
+    if (found != m_servers.end()) {
+        found->second.state = ServerState::Leaving;
+    }
+}
+
 void HealthTracker::released(const core::VmId &vm, core::TimePoint now)
 {
     const auto found = m_servers.find(vm);
@@ -123,15 +134,15 @@
     }
     Server &server = found->second;
     server.inFlight -= std::min(server.inFlight, 1U);
-    if (server.inFlight == 0 && !server.isEjected && now - server.lastProgress > stallTimeout(server)
+    if (server.inFlight == 0 && isInService(server) && now - server.lastProgress > stallTimeout(server)
         && mayEject(server, now)) {
         // The last request in flight at a stalled backend server ended without an answer. No request is left that could
         // show a recovery, so the server is ejected and then probed.
         eject(server, now);
         return;
     }
-    if (server.inFlight == 0 && server.isProbing && server.isEjected) {
-        server.isProbing = false;
+    if (server.inFlight == 0 && server.state == ServerState::Probing) {
+        server.state = ServerState::Ejected;
     }
 }
 
@@ -142,9 +153,16 @@
         return Availability::Ejected;
     }
     const Server &server = found->second;
-    if (server.isEjected) {
-        const bool isDue = !server.isProbing && now >= server.probeAt;
-        return isDue ? Availability::Probe : Availability::Ejected;
+    switch (server.state) {
+    case ServerState::InService:
+    case ServerState::SlowStart:
+        break;
+    case ServerState::Ejected:
+        return now >= server.probeAt ? Availability::Probe : Availability::Ejected;
+    case ServerState::Probing:
+        return Availability::Ejected;
+    case ServerState::Leaving:
+        return Availability::Leaving;
     }
     return isStalled(server, now) && mayEject(server, now) ? Availability::Ejected : Availability::Available;
 }
@@ -152,7 +170,7 @@
 double HealthTracker::loadFraction(const core::VmId &vm, core::TimePoint now) const
 {
     const auto found = m_servers.find(vm);
-    if (found == m_servers.end() || !found->second.isInSlowStart) {
+    if (found == m_servers.end() || found->second.state != ServerState::SlowStart) {
         return 1.0;
     }
     const double passed = std::chrono::duration<double>(now - found->second.reinstatedAt).count();
@@ -164,7 +182,7 @@
 {
     core::TimePoint earliest = now + m_settings.maxEjectionTime;
     for (const auto &[vm, server] : m_servers) {
-        if (server.isEjected && !server.isProbing) {
+        if (server.state == ServerState::Ejected) {
             earliest = std::min(earliest, std::max(now, server.probeAt));
         }
     }
@@ -189,7 +207,7 @@
 {
     std::size_t unavailable = 1;
     for (const auto &[vm, other] : m_servers) {
-        const bool isUnavailable = other.isEjected || isStalled(other, now);
+        const bool isUnavailable = isEjected(other) || isStalled(other, now);
         unavailable += &other != &server && isUnavailable ? 1 : 0;
     }
     // If most backend servers seem to fail, the cause is elsewhere, and ejection would overload the few that remain.
@@ -198,20 +216,16 @@
 
 void HealthTracker::eject(Server &server, core::TimePoint now)
 {
-    server.isEjected = true;
-    server.isProbing = false;
-    server.isInSlowStart = false;
+    server.state = ServerState::Ejected;
     server.probeAt = now + ejectionTime(server.ejections);
     ++server.ejections;
 }
 
 void HealthTracker::reinstate(Server &server, core::TimePoint now)
 {
-    server.isEjected = false;
-    server.isProbing = false;
+    server.state = ServerState::SlowStart;
     server.consecutiveFailures = 0;
     server.failureRate = 0.0;
-    server.isInSlowStart = true;
     server.reinstatedAt = now;
 }
 
