Refusals of kinds after "internal" are counted apart

promptHeld was counted as internal, in /metrics too: the counters ended with that kind. MetricsTest.refusalsOfEachKindAreCountedApart failed before.

--- a/packages/core/include/lycheelanding/core/errorkind.h
+++ b/packages/core/include/lycheelanding/core/errorkind.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -41,6 +42,8 @@
     PromptHeld,
 };
 
+inline constexpr std::size_t errorKindCount = static_cast<std::size_t>(ErrorKind::PromptHeld) + 1;
+
 /// Whether the request reached its backend server, as answers report it to the caller.
 enum class Ran : std::uint8_t {
     No,
--- a/packages/core/src/errorkind.cpp
+++ b/packages/core/src/errorkind.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<ErrorAnswer, 29> answers{{
+constexpr std::array<ErrorAnswer, errorKindCount> answers{{
     {ErrorKind::MalformedRequest, "malformedRequest", 400, Ran::No, false, "The request is malformed"},
     {ErrorKind::RequestTooLarge, "requestTooLarge", 413, Ran::No, false, "The request body is too large"},
     {ErrorKind::HeaderTooLarge, "headerTooLarge", 431, Ran::No, false, "The request headers are too large"},
@@ -57,7 +57,6 @@
 }
 
 static_assert(isInKindOrder(), "answerOf() indexes the table by kind");
-static_assert(answers.size() == static_cast<std::size_t>(ErrorKind::PromptHeld) + 1, "an error kind has no row");
 
 } // namespace
 
--- a/packages/report/include/lycheelanding/report/metrics.h
+++ b/packages/report/include/lycheelanding/report/metrics.h
@@ -32,11 +32,9 @@
     std::string prometheusText(core::TimePoint now) const;
 
 private:
-    static constexpr std::size_t kindCount = static_cast<std::size_t>(core::ErrorKind::Internal) + 1;
-
     std::array<std::atomic<std::uint64_t>, counterCount> m_counters{};
     std::array<std::atomic<std::uint64_t>, gaugeCount> m_gauges{};
-    std::array<std::atomic<std::uint64_t>, kindCount> m_refusals{};
+    std::array<std::atomic<std::uint64_t>, core::errorKindCount> m_refusals{};
     mutable std::mutex m_latencyMutex;
     std::array<LatencySummary, latencyCount> m_latencies;
 };
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <iterator>
 
 namespace lycheelanding::report {
@@ -35,7 +34,8 @@
 std::size_t indexOf(core::ErrorKind kind)
 {
     // Kinds are also received in messages of peers, so the value may be outside the enumeration.
-    return std::min(static_cast<std::size_t>(kind), static_cast<std::size_t>(core::ErrorKind::Internal));
+    const auto index = static_cast<std::size_t>(kind);
+    return index < core::errorKindCount ? index : static_cast<std::size_t>(core::ErrorKind::Internal);
 }
 
 } // namespace
--- a/packages/report/tests/reporttest.cpp
+++ b/packages/report/tests/reporttest.cpp
@@ -193,4 +193,17 @@
     EXPECT_NE(page.find("<svg"), std::string::npos);
 }
 
+// Kinds that were added after "internal" were counted as that one.
+TEST(MetricsTest, refusalsOfEachKindAreCountedApart)
+{
+    Metrics metrics;
+    for (const auto &answer : core::errorAnswers()) {
+        metrics.countRefusal(answer.kind);
+    }
+    metrics.countRefusal(static_cast<core::ErrorKind>(250));
+    for (const auto &answer : core::errorAnswers()) {
+        EXPECT_EQ(metrics.refusals(answer.kind), answer.kind == core::ErrorKind::Internal ? 2U : 1U) << answer.name;
+    }
+}
+
 } // namespace lycheelanding::report
