--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -59,7 +59,7 @@
     const RouteTablePointer &routes() const { return m_routes; }
     report::Metrics &metrics() { return m_metrics; }
     PromptGuard &prompts() { return m_prompts; }
-    LimitTracker &limits() { return m_limits; }
+    IntakeTracker &intakeTracker() { return m_intakeTracker; }
     /// Sets the handler that is called when a backend server has said in an answer that it leaves.
     void setLeavingHandler(std::function<void(const BackendId &)> handler) { m_onLeaving = std::move(handler); }
 
@@ -85,7 +85,7 @@
     WaitingRequests<ForwardedExchange> m_waiting;
     AttemptId m_lastAttempt;
     std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> m_resumableStreams;
-    LimitTracker m_limits;
+    IntakeTracker m_intakeTracker;
     PromptGuard m_prompts;
     std::function<void(const BackendId &)> m_onLeaving;
     const std::function<void(const BackendId &)> m_backendLeaves;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardingresources.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardingresources.h
@@ -3,7 +3,7 @@
 #include "lycheelanding/forwarding/backendset.h"
 #include "lycheelanding/forwarding/eventlog.h"
 #include "lycheelanding/forwarding/fieldnames.h"
-#include "lycheelanding/forwarding/limittracker.h"
+#include "lycheelanding/forwarding/intaketracker.h"
 #include "lycheelanding/forwarding/promptguard.h"
 #include "lycheelanding/forwarding/retrybudgets.h"
 #include "lycheelanding/forwarding/waitingrequests.h"
@@ -34,7 +34,7 @@
     /// Id of the last attempt of the process; each attempt increments it.
     AttemptId &lastAttempt;
     PromptGuard &prompts;
-    LimitTracker &limits;
+    IntakeTracker &intakeTracker;
     /// Called when a backend server has said in an answer that it leaves.
     const std::function<void(const BackendId &)> &onLeaving;
     /// Requests with a stream that another backend server can resume.
--- a/packages/forwarding/include/lycheelanding/forwarding/limittracker.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/intaketracker.h
@@ -26,10 +26,10 @@
 
 /// Reads limits of requests from the answers of backend servers and from the reports of other entries, and logs their
 /// changes. Used on one thread.
-class LimitTracker
+class IntakeTracker
 {
 public:
-    LimitTracker(BackendSet &backends, EventLog &log, report::Metrics &metrics)
+    IntakeTracker(BackendSet &backends, EventLog &log, report::Metrics &metrics)
         : m_backends(backends), m_log(log), m_metrics(metrics)
     { }
 
--- a/packages/forwarding/src/backendattempt.cpp
+++ b/packages/forwarding/src/backendattempt.cpp
@@ -47,7 +47,7 @@
         m_resources.onLeaving(backend());
     }
     if (isOwnAnswer(m_answerClass)) {
-        m_resources.limits.answered(backend(), m_head, m_resources.names, m_startedAt);
+        m_resources.intakeTracker.answered(backend(), m_head, m_resources.names, m_startedAt);
     }
 }
 
--- a/packages/forwarding/src/limittracker.cpp
+++ b/packages/forwarding/src/intaketracker.cpp
@@ -1,4 +1,4 @@
-#include "lycheelanding/forwarding/limittracker.h"
+#include "lycheelanding/forwarding/intaketracker.h"
 
 #include <algorithm>
 #include <chrono>
@@ -17,8 +17,8 @@
 
 } // namespace
 
-void LimitTracker::answered(const BackendId &id, const http::AnswerHead &head, const FieldNames &names,
-                            core::TimePoint sentAt)
+void IntakeTracker::answered(const BackendId &id, const http::AnswerHead &head, const FieldNames &names,
+                             core::TimePoint sentAt)
 {
     const auto backend = m_backends.all().find(id);
     if (backend == m_backends.all().end()) {
@@ -43,7 +43,7 @@
     }
 }
 
-void LimitTracker::apply(const LimitReport &report)
+void IntakeTracker::apply(const LimitReport &report)
 {
     const auto backend = m_backends.all().find(report.backend);
     if (backend != m_backends.all().end() && backend->second.startedAtMs == report.startedAtMs) {
@@ -51,7 +51,7 @@
     }
 }
 
-bool LimitTracker::applyChange(const LimitReport &report)
+bool IntakeTracker::applyChange(const LimitReport &report)
 {
     using decisions::intake::LimitChange;
     auto &intake = m_backends.intake();
--- a/packages/rankgroups/src/rankstatusreceiver.cpp
+++ b/packages/rankgroups/src/rankstatusreceiver.cpp
@@ -32,7 +32,7 @@
     m_entry.prompts().setReportHandlers({[this](const auto &report) { relay(report); },
                                          [this](const auto &report) { relay(report); },
                                          [this](const auto &report) { relay(report); }});
-    m_entry.limits().setReportHandler([this](const auto &report) { relay(report); });
+    m_entry.intakeTracker().setReportHandler([this](const auto &report) { relay(report); });
 }
 
 void RankStatusReceiver::onDatagram(const std::string &ip, const Datagram &datagram)
@@ -50,7 +50,8 @@
         m_entry.prompts().apply(ProbeReport{probe->parts, time});
     } else if (const auto *limit = std::get_if<LimitNotice>(&datagram)) {
         const auto time = m_clock.now() - std::chrono::milliseconds(limit->ageMs);
-        m_entry.limits().apply({forwarding::BackendId(limit->backend), limit->startedAtMs, limit->perSecond, time});
+        m_entry.intakeTracker().apply(
+            {forwarding::BackendId(limit->backend), limit->startedAtMs, limit->perSecond, time});
     }
 }
 
--- a/packages/rankgroups/tests/limitnoticestest.cpp
+++ b/packages/rankgroups/tests/limitnoticestest.cpp
@@ -21,7 +21,7 @@
 {
     forwarding::FieldNames names;
     names.requestLimit = "Limit";
-    entry.server.limits().answered(backend, headWith(limit), names, core::SystemClock().now());
+    entry.server.intakeTracker().answered(backend, headWith(limit), names, core::SystemClock().now());
 }
 
 } // namespace
@@ -46,9 +46,9 @@
 {
     asio::io_context context{1};
     Entry entry(context, "127.0.0.51", freePort(context));
-    entry.server.limits().apply({backend, 17, 2.5, core::SystemClock().now()});
+    entry.server.intakeTracker().apply({backend, 17, 2.5, core::SystemClock().now()});
     EXPECT_FALSE(entry.server.intake().limitOf(backend));
-    entry.server.limits().apply({backend, 0, 2.5, core::SystemClock().now()});
+    entry.server.intakeTracker().apply({backend, 0, 2.5, core::SystemClock().now()});
     EXPECT_TRUE(entry.server.intake().limitOf(backend));
 }
 
