A backend server that turns requests away for a time gets none until then

It got one request of each entry every 150 ms: the time in its 503 was not read. Callers of a service that was turned away as a whole waited and were told a time at which they were refused again.

HealthTracker has a state for it: nothing goes there until the stated time, not where health is ignored either; the return begins with one request, at a random moment, and growing load. Where all of a service ask for it, requests that can't wait so long are refused at once with the true time (turnedAway).

--- a/packages/core/src/errorkind.cpp
+++ b/packages/core/src/errorkind.cpp
@@ -38,6 +38,7 @@
     {ErrorKind::Cancelled, "cancelled", 499, Ran::Unknown, false, "The caller cancelled the request"},
     {ErrorKind::Internal, "internal", 500, Ran::Unknown, false, "An internal error occurred"},
     {ErrorKind::PromptHeld, "promptHeld", 503, Ran::No, true, "Prompts with such a part crash backend servers"},
+    {ErrorKind::TurnedAway, "turnedAway", 503, Ran::No, true, "All backend servers have asked for a pause"},
 }};
 
 constexpr std::array<NameEntry<Ran>, 3> ranNames{{
--- a/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
@@ -58,8 +58,8 @@
     LimitChange limitStated(const StatedLimit &stated, core::TimePoint now);
     /// An answer states no limit; `sentAt`: when its request was sent.
     std::optional<EndedLimit> noLimitStated(const BackendId &id, core::TimePoint sentAt, core::TimePoint now);
-    /// Whether an unreadable limit is to be reported now; the limit before remains in force.
-    bool limitUnreadable(const BackendId &id, core::TimePoint now);
+    /// Whether an unreadable statement is to be reported now; what was stated before remains in force.
+    bool unreadable(const BackendId &id, core::TimePoint now);
     /// Whether the backend server's limit allows this entry a request now.
     bool mayReceive(const BackendId &id, core::TimePoint now) const;
     void recordSent(const BackendId &id, core::TimePoint now);
--- a/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
@@ -56,6 +56,14 @@
     void reportLoad(const core::VmId &vm, const LoadReport &report);
     /// The backend server gets no new requests. To use it again, remove it and add it as a candidate again.
     void setLeaving(const core::VmId &vm) { m_health.leaves(vm); }
+    /// The backend server wants no requests until then. Returns whether it has not said so before.
+    bool turnedAway(const core::VmId &vm, core::TimePoint until, core::TimePoint now)
+    {
+        return m_health.turnedAway(vm, until, now);
+    }
+    /// The earliest time at which a backend server that serves the request takes requests again; nullopt unless all of
+    /// them have turned requests away. Those that leave do not count.
+    std::optional<core::TimePoint> turnedAwayUntil(const RouteRequest &request, core::TimePoint now) const;
     void remove(const core::VmId &vm);
 
     /// Adds the expected tokens of the request, minus those saved by the prefix cache, to the load of the rank.
@@ -72,6 +80,8 @@
     /// True if the backend server may get requests other than probes.
     bool isAvailable(const core::VmId &vm, core::TimePoint now) const;
     std::size_t inFlightRequests(const core::VmId &vm) const;
+    /// Fraction of its normal load that the backend server should get; below 1 while it returns to service.
+    double loadFraction(const core::VmId &vm, core::TimePoint now) const { return m_health.loadFraction(vm, now); }
     /// Estimated requests of all entries at the busiest rank of the backend server.
     double estimatedRequests(const core::VmId &vm, core::TimePoint now) const;
     std::uint64_t inFlightTokens(const core::VmId &vm) const;
@@ -116,10 +126,8 @@
     Rank *rankOf(const core::VmId &vm, core::RankIndex rank);
     void recordTokensDone(Attempt &attempt, std::uint64_t tokens, core::TimePoint now);
     std::vector<Target> targetsFor(const RouteRequest &request, core::TimePoint now) const;
-    bool isLeaving(const core::VmId &vm, core::TimePoint now) const
-    {
-        return m_health.availability(vm, now) == Availability::Leaving;
-    }
+    /// Whether the backend server has said itself that it wants no requests. Its health says nothing against it.
+    bool isClosed(const core::VmId &vm, core::TimePoint now) const;
     bool areTooFewAvailable(const RouteRequest &request, core::TimePoint now) const;
     std::optional<Choice> probeFor(const RouteRequest &request, core::TimePoint now) const;
     void addCosts(std::vector<Target> &targets, const RouteRequest &request, core::TimePoint now) const;
--- a/packages/decisions/include/lycheelanding/decisions/routing/healthtracker.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/healthtracker.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace lycheelanding::decisions::routing {
@@ -15,28 +16,40 @@
     /// Ejected, but due for one request that tests it.
     Probe,
     Ejected,
+    /// It wants no requests for some time.
+    TurnedAway,
+    /// This time has passed, and it is due for one request.
+    Return,
     /// It gets no new requests any more.
     Leaving,
 };
 
 /// State of a backend server, from the view of one entry:
 ///
-/// | from               | event                                              | to        |
-/// |--------------------|----------------------------------------------------|-----------|
-/// | InService, SlowStart | failures in a row or at a high rate; no progress   | Ejected   |
-/// | InService, SlowStart | progress after it had stalled                      | SlowStart |
-/// | SlowStart          | a success after a time without another ejection    | InService |
-/// | Ejected            | a probe is sent, after the ejection time           | Probing   |
-/// | Probing            | a success                                          | SlowStart |
-/// | Probing            | a failure                                          | Ejected   |
-/// | Probing            | its requests end without saying anything           | Ejected   |
-/// | any                | it is known to leave                               | Leaving   |
+/// | from                 | event                                             | to         |
+/// |----------------------|---------------------------------------------------|------------|
+/// | InService, SlowStart | failures in a row or at a high rate; no progress  | Ejected    |
+/// | InService, SlowStart | progress after it had stalled                     | SlowStart  |
+/// | SlowStart            | a success after a time without another ejection   | InService  |
+/// | Ejected              | a probe is sent, after the ejection time          | Probing    |
+/// | Probing              | a success                                         | SlowStart  |
+/// | Probing              | a failure                                         | Ejected    |
+/// | Probing              | its requests end without saying anything          | Ejected    |
+/// | any but Leaving      | it asks for no requests for some time             | TurnedAway |
+/// | TurnedAway           | a request is sent, after that time                | Returning  |
+/// | Returning            | a success                                         | SlowStart  |
+/// | Returning            | a failure                                         | Ejected    |
+/// | Returning            | a request ends without saying anything            | TurnedAway |
+/// | any                  | it is known to leave                              | Leaving    |
 enum class ServerState : std::uint8_t {
     InService,
     /// In service with a part of its load, which grows.
     SlowStart,
     Ejected,
     Probing,
+    TurnedAway,
+    /// The first request after the time of TurnedAway is in progress.
+    Returning,
     Leaving,
 };
 
@@ -81,6 +94,10 @@
     void responded(const core::VmId &vm, core::Duration delay);
     void succeeded(const core::VmId &vm, core::TimePoint now);
     void failed(const core::VmId &vm, core::TimePoint now);
+    /// The backend server wants no requests until then. Returns whether it was not turned away before.
+    bool turnedAway(const core::VmId &vm, core::TimePoint until, core::TimePoint now);
+    /// When a backend server that wants no requests for some time gets the next one; nullopt for others.
+    std::optional<core::TimePoint> returnAt(const core::VmId &vm, core::TimePoint now) const;
     /// The backend server gets no new requests. To use it again, remove it and add it again.
     void leaves(const core::VmId &vm);
     /// A request ended with an outcome that says nothing about the health of the backend server.
@@ -103,6 +120,7 @@
         double meanDelaySeconds = 0.0;
         ServerState state = ServerState::InService;
         core::TimePoint lastProgress;
+        /// In the states Ejected and TurnedAway: when the next request may be sent.
         core::TimePoint probeAt;
         core::TimePoint reinstatedAt;
     };
@@ -111,11 +129,9 @@
     {
         return server.state == ServerState::InService || server.state == ServerState::SlowStart;
     }
-    static bool isEjected(const Server &server)
-    {
-        return server.state == ServerState::Ejected || server.state == ServerState::Probing;
-    }
 
+    /// Whether a single request finds out how it does.
+    static bool isBeingTested(const Server &server);
     bool isStalled(const Server &server, core::TimePoint now) const;
     core::Duration stallTimeout(const Server &server) const;
     /// Whether enough other backend servers are in service to take this one out.
--- a/packages/decisions/src/intake/backendintake.cpp
+++ b/packages/decisions/src/intake/backendintake.cpp
@@ -112,7 +112,7 @@
     return ended;
 }
 
-bool BackendIntake::limitUnreadable(const BackendId &id, core::TimePoint now)
+bool BackendIntake::unreadable(const BackendId &id, core::TimePoint now)
 {
     const auto [found, isNew] = m_unreadableReports.try_emplace(id, now);
     if (!isNew && now - found->second < unreadableReportInterval) {
--- a/packages/decisions/src/routing/backendselector.cpp
+++ b/packages/decisions/src/routing/backendselector.cpp
@@ -254,7 +254,7 @@
     std::vector<Target> targets;
     const bool ignoresHealth = areTooFewAvailable(request, now);
     for (const auto &[vm, server] : m_servers) {
-        const bool isHealthy = ignoresHealth ? !isLeaving(vm, now) : isAvailable(vm, now);
+        const bool isHealthy = ignoresHealth ? !isClosed(vm, now) : isAvailable(vm, now);
         const bool isUsable = serves(server.candidate, request) && isHealthy;
         if (!isUsable || contains(request.excluded, vm)) {
             continue;
@@ -266,12 +266,35 @@
     return targets;
 }
 
+bool BackendSelector::isClosed(const core::VmId &vm, core::TimePoint now) const
+{
+    const auto availability = m_health.availability(vm, now);
+    return availability == Availability::Leaving || availability == Availability::TurnedAway
+        || availability == Availability::Return;
+}
+
+std::optional<core::TimePoint> BackendSelector::turnedAwayUntil(const RouteRequest &request, core::TimePoint now) const
+{
+    std::optional<core::TimePoint> earliest;
+    for (const auto &[vm, server] : m_servers) {
+        if (!serves(server.candidate, request) || m_health.availability(vm, now) == Availability::Leaving) {
+            continue;
+        }
+        const auto returnAt = m_health.returnAt(vm, now);
+        if (!returnAt) {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest.value_or(*returnAt), *returnAt);
+    }
+    return earliest;
+}
+
 bool BackendSelector::areTooFewAvailable(const RouteRequest &request, core::TimePoint now) const
 {
     std::size_t usable = 0;
     std::size_t available = 0;
     for (const auto &[vm, server] : m_servers) {
-        if (serves(server.candidate, request) && !isLeaving(vm, now)) {
+        if (serves(server.candidate, request) && !isClosed(vm, now)) {
             ++usable;
             available += isAvailable(vm, now) ? 1 : 0;
         }
@@ -281,12 +304,13 @@
 
 std::optional<Choice> BackendSelector::probeFor(const RouteRequest &request, core::TimePoint now) const
 {
-    if (!request.isIdempotent) {
-        return std::nullopt;
-    }
     for (const auto &[vm, server] : m_servers) {
-        const bool isCandidate = serves(server.candidate, request) && !contains(request.excluded, vm);
-        if (isCandidate && m_health.availability(vm, now) == Availability::Probe) {
+        if (!serves(server.candidate, request) || contains(request.excluded, vm)) {
+            continue;
+        }
+        // A backend server that has turned requests away is not known to fail them.
+        const auto availability = m_health.availability(vm, now);
+        if (availability == Availability::Return || (availability == Availability::Probe && request.isIdempotent)) {
             return Choice{vm, server.ranks.front().rank, true};
         }
     }
--- a/packages/decisions/src/routing/healthtracker.cpp
+++ b/packages/decisions/src/routing/healthtracker.cpp
@@ -14,9 +14,17 @@
 // A backend server counts as stalled after this multiple of its mean delay without progress.
 constexpr double stallDelayMultiple = 4.0;
 constexpr double delaySampleWeight = 0.1;
+// The return of entries that were turned away is spread over this part of the time, up to a limit.
+constexpr int returnSpreadDivisor = 5;
+constexpr core::Duration maxReturnSpread = std::chrono::seconds(1);
 
 } // namespace
 
+bool HealthTracker::isBeingTested(const Server &server)
+{
+    return server.state == ServerState::Probing || server.state == ServerState::Returning;
+}
+
 HealthTracker::HealthTracker(HealthSettings settings, std::uint64_t seed) : m_settings(settings), m_random(seed) { }
 
 void HealthTracker::setServers(const std::vector<core::VmId> &vms)
@@ -42,6 +50,8 @@
     ++server.inFlight;
     if (isProbe && server.state == ServerState::Ejected) {
         server.state = ServerState::Probing;
+    } else if (isProbe && server.state == ServerState::TurnedAway) {
+        server.state = ServerState::Returning;
     }
 }
 
@@ -77,7 +87,7 @@
         return;
     }
     Server &server = found->second;
-    const bool wasProbing = server.state == ServerState::Probing;
+    const bool wasProbing = isBeingTested(server);
     progressed(vm, now);
     released(vm, now);
     server.consecutiveFailures = 0;
@@ -101,7 +111,7 @@
         return;
     }
     Server &server = found->second;
-    const bool wasProbing = server.state == ServerState::Probing;
+    const bool wasProbing = isBeingTested(server);
     released(vm, now);
     ++server.consecutiveFailures;
     server.failureRate += m_settings.outcomeWeight * (1.0 - server.failureRate);
@@ -118,6 +128,32 @@
     }
 }
 
+bool HealthTracker::turnedAway(const core::VmId &vm, core::TimePoint until, core::TimePoint now)
+{
+    const auto found = m_servers.find(vm);
+    if (found == m_servers.end() || found->second.state == ServerState::Leaving || until <= now) {
+        return false;
+    }
+    Server &server = found->second;
+    // The entries do not come back at the same moment.
+    const core::Duration spread = std::min<core::Duration>((until - now) / returnSpreadDivisor, maxReturnSpread);
+    const auto returnAt = until + std::chrono::duration_cast<core::Duration>(spread * m_random.nextUnit());
+    const bool wasTurnedAway = server.state == ServerState::TurnedAway && server.probeAt > now;
+    // Answers to requests that were sent before say the same again.
+    if (!wasTurnedAway || server.probeAt < until) {
+        server.probeAt = returnAt;
+    }
+    server.state = ServerState::TurnedAway;
+    return !wasTurnedAway;
+}
+
+std::optional<core::TimePoint> HealthTracker::returnAt(const core::VmId &vm, core::TimePoint now) const
+{
+    const auto found = m_servers.find(vm);
+    const bool isTurnedAway = found != m_servers.end() && found->second.state == ServerState::TurnedAway;
+    return isTurnedAway && now < found->second.probeAt ? std::optional(found->second.probeAt) : std::nullopt;
+}
+
 void HealthTracker::leaves(const core::VmId &vm)
 {
     const auto found = m_servers.find(vm);
@@ -143,6 +179,8 @@
     }
     if (server.inFlight == 0 && server.state == ServerState::Probing) {
         server.state = ServerState::Ejected;
+    } else if (server.state == ServerState::Returning) {
+        server.state = ServerState::TurnedAway;
     }
 }
 
@@ -161,6 +199,10 @@
         return now >= server.probeAt ? Availability::Probe : Availability::Ejected;
     case ServerState::Probing:
         return Availability::Ejected;
+    case ServerState::TurnedAway:
+        return now >= server.probeAt ? Availability::Return : Availability::TurnedAway;
+    case ServerState::Returning:
+        return Availability::TurnedAway;
     case ServerState::Leaving:
         return Availability::Leaving;
     }
@@ -182,7 +224,7 @@
 {
     core::TimePoint earliest = now + m_settings.maxEjectionTime;
     for (const auto &[vm, server] : m_servers) {
-        if (server.state == ServerState::Ejected) {
+        if (server.state == ServerState::Ejected || server.state == ServerState::TurnedAway) {
             earliest = std::min(earliest, std::max(now, server.probeAt));
         }
     }
@@ -207,7 +249,8 @@
 {
     std::size_t unavailable = 1;
     for (const auto &[vm, other] : m_servers) {
-        const bool isUnavailable = isEjected(other) || isStalled(other, now);
+        const bool isUnavailable
+            = (!isInService(other) && other.state != ServerState::Leaving) || isStalled(other, now);
         unavailable += &other != &server && isUnavailable ? 1 : 0;
     }
     // If most backend servers seem to fail, the cause is elsewhere, and ejection would overload the few that remain.
--- a/packages/decisions/tests/intake/backendintaketest.cpp
+++ b/packages/decisions/tests/intake/backendintaketest.cpp
@@ -79,9 +79,9 @@
 TEST(BackendIntake, unreadableLimitsAreReportedNowAndThen)
 {
     BackendIntake intake(1);
-    EXPECT_TRUE(intake.limitUnreadable(backend, start));
-    EXPECT_FALSE(intake.limitUnreadable(backend, start + 1s));
-    EXPECT_TRUE(intake.limitUnreadable(backend, start + 11s));
+    EXPECT_TRUE(intake.unreadable(backend, start));
+    EXPECT_FALSE(intake.unreadable(backend, start + 1s));
+    EXPECT_TRUE(intake.unreadable(backend, start + 11s));
 }
 
 } // namespace lycheelanding::decisions::intake
--- a/packages/decisions/tests/routing/healthtrackertest.cpp
+++ b/packages/decisions/tests/routing/healthtrackertest.cpp
@@ -4,6 +4,8 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 namespace lycheelanding::decisions::routing {
 
@@ -63,6 +65,82 @@
     }
 }
 
+// Whatever else happens at a backend server that has asked for a pause, it gets nothing before its end, and one request
+// at a time until one is answered.
+RC_GTEST_PROP(HealthTrackerFuzz, pauseLastsAsLongAsTheServerHasAsked, (std::uint64_t seed))
+{
+    HealthTracker health(HealthSettings(), seed);
+    const auto vms = servers(3);
+    health.setServers(vms);
+    core::TimePoint now(1h);
+    std::map<core::VmId, core::TimePoint> pausedUntil;
+    std::set<core::VmId> leaving;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, std::uint32_t>>>(
+        rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::arbitrary<std::uint32_t>()));
+    for (const auto &[kind, value] : steps) {
+        const core::VmId &vm = vms[value % vms.size()];
+        const auto before = health.availability(vm, now);
+        const auto until = now + std::chrono::milliseconds(value % 5000 + 1);
+        switch (kind) {
+        case 0:
+            if (before == Availability::Available || before == Availability::Probe || before == Availability::Return) {
+                health.requestSent(vm, before != Availability::Available, now);
+                RC_ASSERT(before == Availability::Available || health.availability(vm, now) != before);
+            }
+            break;
+        case 1:
+            health.failed(vm, now);
+            break;
+        case 2:
+            health.succeeded(vm, now);
+            break;
+        case 3:
+            health.released(vm, now);
+            break;
+        case 4:
+            health.turnedAway(vm, until, now);
+            pausedUntil[vm] = std::max(pausedUntil[vm], until);
+            break;
+        case 5:
+            health.progressed(vm, now);
+            break;
+        case 6:
+            if (value % 20 == 0) {
+                health.leaves(vm);
+                leaving.insert(vm);
+            }
+            break;
+        default:
+            now += std::chrono::milliseconds(value % 3000);
+        }
+        for (const auto &each : vms) {
+            const auto availability = health.availability(each, now);
+            RC_ASSERT((availability == Availability::Leaving) == leaving.contains(each));
+            if (now < pausedUntil[each] && !leaving.contains(each)) {
+                RC_ASSERT(availability == Availability::TurnedAway);
+                RC_ASSERT(health.returnAt(each, now) >= pausedUntil[each]);
+            }
+        }
+    }
+}
+
+TEST(HealthTrackerTest, serverThatAskedForAPauseReturnsWithOneRequestAndGrowingLoad)
+{
+    HealthTracker health(HealthSettings(), 1);
+    const auto vm = servers(1).front();
+    health.setServers({vm});
+    const core::TimePoint start(1h);
+    health.turnedAway(vm, start + 5s, start);
+    EXPECT_EQ(health.availability(vm, start + 4999ms), Availability::TurnedAway);
+    EXPECT_EQ(health.availability(vm, start + 6s), Availability::Return);
+    health.requestSent(vm, true, start + 6s);
+    EXPECT_EQ(health.availability(vm, start + 6s), Availability::TurnedAway);
+    health.succeeded(vm, start + 7s);
+    EXPECT_EQ(health.availability(vm, start + 7s), Availability::Available);
+    EXPECT_LT(health.loadFraction(vm, start + 7s), 0.5);
+    EXPECT_EQ(health.loadFraction(vm, start + 12s), 1.0);
+}
+
 TEST(HealthTrackerTest, noServerIsEjectedWhenAllAreUnresponsive)
 {
     HealthTracker health(HealthSettings(), 1);
--- a/packages/forwarding/include/lycheelanding/forwarding/answerclass.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/answerclass.h
@@ -42,6 +42,12 @@
 /// The limit of requests that the answer states; nullopt if it states none.
 std::optional<RequestLimit> statedLimit(const http::AnswerHead &head, const FieldNames &names);
 
+/// A time in seconds, or std::monostate if the field's text is no positive number.
+using RetryDelay = std::variant<std::monostate, double>;
+
+/// The time for which an answer that turns its request away asks for no further ones; nullopt if it does not.
+std::optional<RetryDelay> statedRetryDelay(const http::AnswerHead &head);
+
 /// The error of an attempt whose answer is not passed on, for every class but Valid.
 core::Error errorOf(AnswerClass answerClass, const std::string &backendName);
 
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace lycheelanding::forwarding {
@@ -95,6 +96,16 @@
     decisions::intake::BackendIntake &intake() { return m_intake; }
     const decisions::intake::BackendIntake &intake() const { return m_intake; }
 
+    /// The backend server wants no requests of this entry until then. Returns whether it has not said so before.
+    bool recordTurnedAway(const BackendId &id, core::TimePoint until, core::TimePoint now);
+    /// The earliest time at which a backend server of the service takes requests again; nullopt unless all of them have
+    /// turned this entry away.
+    std::optional<core::TimePoint> turnedAwayUntil(const core::ServiceId &service, core::TimePoint now) const;
+    /// The error of a request that need not wait, as all backend servers have turned this entry away until after
+    /// `waitDeadline`; nullopt for others.
+    std::optional<core::Error> turnAwayError(const core::ServiceId &service, core::TimePoint waitDeadline,
+                                             std::string_view attemptName, core::TimePoint now) const;
+
     std::optional<RegisteredBackend> find(const BackendId &id) const;
     const std::map<BackendId, RegisteredBackend> &all() const { return m_backends; }
     /// Whether a usable backend server has this endpoint.
@@ -114,6 +125,8 @@
     /// Number of requests that may be in progress at the backend server.
     double capacityOf(const RegisteredBackend &backend, const BackendLoad &load, const BackendRequirements &request,
                       core::TimePoint now) const;
+    /// The same for requests of this entry at a backend server of whose load nothing is reported.
+    double ownCapacityOf(const RegisteredBackend &backend, core::TimePoint now) const;
     /// Empty while it is unknown.
     core::GroupId groupOf(const BackendId &id) const;
     void recordGroupEvent(AttemptId attempt, core::TimePoint now);
@@ -122,6 +135,7 @@
     double meanRunning(const core::GroupId &group, core::TimePoint now) const;
 
     const core::DataCentreId m_localDataCentre;
+    std::size_t m_entries = 1;
     std::map<BackendId, RegisteredBackend> m_backends;
     std::map<BackendId, asio::ip::tcp::endpoint> m_endpoints;
     std::map<BackendId, BackendState> m_states;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -49,8 +49,8 @@
 
     void startTimer();
     void startAttempt();
-    /// Gives up the request if its prompt is held; returns whether it was.
-    bool giveUpHeldPrompt();
+    /// Gives up the request if it is known that no backend server takes it in its time; returns whether it did.
+    bool giveUpUnservable();
     std::optional<ReservedBackend> reserveReplacement(const core::Error &error, core::Duration inactivity);
     std::optional<RetryDenial> retryDenial() const;
     decisions::retry::FailedAttempt failedAttempt(const core::Error &error, core::Ran ran) const;
--- a/packages/forwarding/include/lycheelanding/forwarding/intaketracker.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/intaketracker.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string_view>
 
 namespace lycheelanding::forwarding {
 
@@ -24,8 +25,8 @@
     core::TimePoint time;
 };
 
-/// Reads limits of requests from the answers of backend servers and from the reports of other entries, and logs their
-/// changes. Used on one thread.
+/// Reads from the answers of backend servers, and from the reports of other entries, which requests they take: limits
+/// of requests per second, and times without any. Logs their changes. Used on one thread.
 class IntakeTracker
 {
 public:
@@ -42,6 +43,10 @@
     void apply(const LimitReport &report);
 
 private:
+    void readLimit(const RegisteredBackend &backend, const http::AnswerHead &head, const FieldNames &names,
+                   core::TimePoint sentAt);
+    void readRetryDelay(const BackendId &id, const http::AnswerHead &head);
+    void reportUnreadable(const BackendId &id, std::string_view field);
     /// Returns whether it changes what this entry knows.
     bool applyChange(const LimitReport &report);
 
--- a/packages/forwarding/include/lycheelanding/forwarding/refusal.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/refusal.h
@@ -13,6 +13,9 @@
 /// Retry delay for a request that has waited without success; requests given up at the same time get different delays.
 std::chrono::milliseconds retryAfterWaiting(std::chrono::milliseconds waited, std::string_view attemptName);
 
+/// A retry delay of `time` or somewhat more, different for each request: all are told the same time.
+std::chrono::milliseconds spreadRetryAfter(std::chrono::milliseconds time, std::string_view attemptName);
+
 /// The error with its retry delay limited to what a caller accepts that waits for another `timeLeft`. An error that a
 /// retry cannot fix is returned unchanged.
 core::Error withRetryAfter(const core::Error &error, core::Duration timeLeft);
--- a/packages/forwarding/src/answerclass.cpp
+++ b/packages/forwarding/src/answerclass.cpp
@@ -13,6 +13,7 @@
 constexpr int firstSuccess = 200;
 constexpr int firstRedirect = 300;
 constexpr int firstServerError = 500;
+constexpr int serviceUnavailable = 503;
 /// With these statuses callers are guaranteed that the request has not run and never will.
 constexpr std::array<int, 4> notRunStatuses{408, 421, 429, 503};
 
@@ -21,6 +22,14 @@
     return std::find(notRunStatuses.begin(), notRunStatuses.end(), status) != notRunStatuses.end();
 }
 
+std::optional<double> decimalNumberIn(std::string_view text)
+{
+    double number = 0.0;
+    const char *const last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, number);
+    return error == std::errc() && end == last && std::isfinite(number) ? std::optional(number) : std::nullopt;
+}
+
 } // namespace
 
 AnswerClass classifyAnswer(const http::AnswerHead &head, const FieldNames &names)
@@ -67,11 +76,18 @@
     if (!text) {
         return std::nullopt;
     }
-    double number = 0.0;
-    const char *const last = text->data() + text->size();
-    const auto [end, error] = std::from_chars(text->data(), last, number);
-    const bool isLimit = error == std::errc() && end == last && std::isfinite(number) && number >= 0.0;
-    return isLimit ? RequestLimit(number) : RequestLimit();
+    const auto number = decimalNumberIn(*text);
+    return number && *number >= 0.0 ? RequestLimit(*number) : RequestLimit();
+}
+
+std::optional<RetryDelay> statedRetryDelay(const http::AnswerHead &head)
+{
+    const auto text = head.status == serviceUnavailable ? head.headers.find("Retry-After") : std::nullopt;
+    if (!text) {
+        return std::nullopt;
+    }
+    const auto number = decimalNumberIn(*text);
+    return number && *number > 0.0 ? RetryDelay(*number) : RetryDelay();
 }
 
 core::Error errorOf(AnswerClass answerClass, const std::string &backendName)
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheelanding/core/stablehash.h"
 #include "lycheelanding/forwarding/percent.h"
+#include "lycheelanding/forwarding/refusal.h"
 
 #include <algorithm>
 #include <charconv>
@@ -33,6 +34,10 @@
 /// Maximum pass duration in percent of the maximum event interval: the rest covers requests that other entries send at
 /// the same time, prefill, and the transmission of the event.
 constexpr int maxPassPercent = 92;
+/// Requests that one entry may have in progress at a backend server of unknown load: this many times an even share of
+/// the slots, as demand is uneven, and a minimum.
+constexpr double ownShareOfSlots = 2.0;
+constexpr double minOwnCapacity = 2.0;
 /// Backoff after a backend server has refused a request: about the time in which it finishes one.
 constexpr std::chrono::milliseconds refusalBackoff{150};
 /// Tokens that a running request has left on average: half of a typical answer.
@@ -92,6 +97,7 @@
         const auto known = m_backends.find(backend.id);
         if (known != m_backends.end() && known->second.startedAtMs != backend.startedAtMs) {
             m_intake.remove(backend.id);
+            m_selector.remove(selectorId(backend.id));
         }
         m_backends.erase(backend.id);
         m_endpoints.erase(backend.id);
@@ -108,6 +114,7 @@
 
 void BackendSet::setPosition(const decisions::membership::EntryPosition &position, core::TimePoint now)
 {
+    m_entries = position.entries;
     m_selector.setLiveEntries(position.entries);
     m_intake.setPosition(position, now);
 }
@@ -207,6 +214,13 @@
     return limit ? std::clamp(*limit, slots * minCapacityFraction, slots) : slots * unsaturatedFraction;
 }
 
+double BackendSet::ownCapacityOf(const RegisteredBackend &backend, core::TimePoint now) const
+{
+    const auto entries = static_cast<double>(std::max<std::size_t>(m_entries, 1));
+    const double share = static_cast<double>(backend.slots) * ownShareOfSlots / entries;
+    return std::max(1.0, std::max(share, minOwnCapacity) * m_selector.loadFraction(selectorId(backend.id), now));
+}
+
 bool BackendSet::canAccept(const RegisteredBackend &backend, const BackendRequirements &request,
                            core::TimePoint now) const
 {
@@ -223,7 +237,8 @@
     }
     const bool hasStatus = state.load && now - state.load->measuredAt < rankStatusTimeout;
     if (!hasStatus) {
-        return true;
+        const auto own = static_cast<double>(m_selector.inFlightRequests(selectorId(backend.id)));
+        return backend.slots == 0 || own < ownCapacityOf(backend, now);
     }
     if (!state.load->isGroupStepping || backend.slots == 0) {
         return state.load->isGroupStepping;
@@ -301,6 +316,29 @@
     m_attempts.erase(found);
 }
 
+bool BackendSet::recordTurnedAway(const BackendId &id, core::TimePoint until, core::TimePoint now)
+{
+    return m_selector.turnedAway(selectorId(id), until, now);
+}
+
+std::optional<core::Error> BackendSet::turnAwayError(const core::ServiceId &service, core::TimePoint waitDeadline,
+                                                     std::string_view attemptName, core::TimePoint now) const
+{
+    const auto until = turnedAwayUntil(service, now);
+    if (!until || *until <= waitDeadline) {
+        return std::nullopt;
+    }
+    return core::Error{core::ErrorKind::TurnedAway, "all backend servers have asked for a pause",
+                       spreadRetryAfter(std::chrono::ceil<std::chrono::milliseconds>(*until - now), attemptName)};
+}
+
+std::optional<core::TimePoint> BackendSet::turnedAwayUntil(const core::ServiceId &service, core::TimePoint now) const
+{
+    decisions::routing::RouteRequest route;
+    route.service = service;
+    return m_selector.turnedAwayUntil(route, now);
+}
+
 std::optional<RegisteredBackend> BackendSet::find(const BackendId &id) const
 {
     const auto found = m_backends.find(id);
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -83,9 +83,12 @@
     return request;
 }
 
-bool ForwardedExchange::giveUpHeldPrompt()
+bool ForwardedExchange::giveUpUnservable()
 {
-    const auto error = m_resources.prompts.holdError(m_terms.promptParts);
+    auto error = m_resources.prompts.holdError(m_terms.promptParts);
+    if (!error) {
+        error = m_resources.backends.turnAwayError(m_terms.service, m_limits.waitDeadline, m_attemptName, now());
+    }
     if (error) {
         execute(m_attempts->giveUp(*error));
     }
@@ -94,7 +97,7 @@
 
 void ForwardedExchange::startAttempt()
 {
-    if (giveUpHeldPrompt()) {
+    if (giveUpUnservable()) {
         return;
     }
     m_resources.backends.intake().requestArrived(m_terms.service, now());
@@ -115,7 +118,7 @@
 
 bool ForwardedExchange::trySend()
 {
-    if (giveUpHeldPrompt()) {
+    if (giveUpUnservable()) {
         return true;
     }
     const auto reserved = reserveBackend(backendRequirements());
--- a/packages/forwarding/src/intaketracker.cpp
+++ b/packages/forwarding/src/intaketracker.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Longer times are shortened to this one: such a server is replaced before, or has stated a wrong number.
+constexpr double maxRetryDelaySeconds = 24.0 * 60.0 * 60.0;
+
 std::int64_t perMinute(double perSecond)
 {
     constexpr double secondsPerMinute = 60.0;
@@ -25,15 +28,50 @@
         // It was removed after the request was sent.
         return;
     }
+    readLimit(backend->second, head, names, sentAt);
+    readRetryDelay(id, head);
+}
+
+void IntakeTracker::reportUnreadable(const BackendId &id, std::string_view field)
+{
+    if (m_backends.intake().unreadable(id, m_clock.now())) {
+        m_log.write(LogImportance::State, "backendFieldUnreadable", {{"backend", id.text()}, {"field", field}});
+    }
+}
+
+void IntakeTracker::readRetryDelay(const BackendId &id, const http::AnswerHead &head)
+{
+    const auto delay = statedRetryDelay(head);
+    if (!delay) {
+        return;
+    }
+    const auto *seconds = std::get_if<double>(&*delay);
+    if (seconds == nullptr) {
+        reportUnreadable(id, "retryAfter");
+        return;
+    }
     const auto now = m_clock.now();
+    const std::chrono::duration<double> bounded(std::min(*seconds, maxRetryDelaySeconds));
+    const auto time = std::chrono::duration_cast<core::Duration>(bounded);
+    if (m_backends.recordTurnedAway(id, now + time, now)) {
+        m_metrics.increment(report::Counter::BackendTurnAways);
+        m_log.write(LogImportance::State, "backendTurnedAway",
+                    {{"backend", id.text()},
+                     {"retryAfterMs", std::chrono::duration_cast<std::chrono::milliseconds>(time).count()}});
+    }
+}
+
+void IntakeTracker::readLimit(const RegisteredBackend &backend, const http::AnswerHead &head, const FieldNames &names,
+                              core::TimePoint sentAt)
+{
+    const auto now = m_clock.now();
+    const auto &id = backend.id;
     const auto limit = statedLimit(head, names);
     if (limit && std::holds_alternative<std::monostate>(*limit)) {
-        if (m_backends.intake().limitUnreadable(id, now)) {
-            m_log.write(LogImportance::State, "backendLimitUnreadable", {{"backend", id.text()}});
-        }
+        reportUnreadable(id, "requestLimit");
         return;
     }
-    LimitReport report{id, backend->second.startedAtMs, std::nullopt, sentAt};
+    LimitReport report{id, backend.startedAtMs, std::nullopt, sentAt};
     if (limit) {
         report.perSecond = std::get<double>(*limit);
         report.time = now;
--- a/packages/forwarding/src/refusal.cpp
+++ b/packages/forwarding/src/refusal.cpp
@@ -24,6 +24,10 @@
 constexpr int minOfWaitPercent = 80;
 constexpr int maxOfWaitPercent = 150;
 
+/// The spread of retries that are told the same time, in percent of it, and its limit.
+constexpr int maxSpreadPercent = 25;
+constexpr std::chrono::milliseconds maxSpread{2000};
+
 std::string secondsText(std::chrono::milliseconds time)
 {
     constexpr int decimals = 3;
@@ -55,11 +59,19 @@
     return percentOf(waited, percent);
 }
 
+std::chrono::milliseconds spreadRetryAfter(std::chrono::milliseconds time, std::string_view attemptName)
+{
+    const auto spread = std::min(percentOf(time, maxSpreadPercent), maxSpread);
+    return time
+        + std::chrono::milliseconds(core::stableHash(attemptName) % static_cast<std::uint64_t>(spread.count() + 1));
+}
+
 core::Error withRetryAfter(const core::Error &error, core::Duration timeLeft)
 {
     core::Error result = error;
-    // A held prompt is refused until its hold ends, however little time the caller has left.
-    if (error.kind == core::ErrorKind::PromptHeld && error.retryAfter) {
+    // Requests of these kinds are refused until then, however little time the caller has left.
+    const bool isFixed = error.kind == core::ErrorKind::PromptHeld || error.kind == core::ErrorKind::TurnedAway;
+    if (isFixed && error.retryAfter) {
         return result;
     }
     if (core::answerOf(error.kind).retryCanSucceed) {
--- a/packages/forwarding/tests/refusaltest.cpp
+++ b/packages/forwarding/tests/refusaltest.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 #include <vector>
 
 namespace lycheelanding::forwarding {
@@ -51,6 +52,27 @@
     EXPECT_EQ(refusalResponse(error).headers.find("Retry-After"), "600.000");
 }
 
+// A caller that is told an earlier time is refused again.
+TEST(RefusalTest, retryDelayOfATurnedAwayRequestIsTheTimeOfThePause)
+{
+    core::Error error{core::ErrorKind::TurnedAway, "paused"};
+    error.retryAfter = 20s;
+    EXPECT_EQ(withRetryAfter(error, 1500ms).retryAfter, 20s);
+}
+
+TEST(RefusalTest, retriesThatAreToldTheSameTimeAreSpread)
+{
+    std::set<std::chrono::milliseconds> delays;
+    for (int request = 0; request < 100; ++request) {
+        delays.insert(spreadRetryAfter(4s, "request-" + std::to_string(request)));
+        EXPECT_LT(spreadRetryAfter(1h, "request-" + std::to_string(request)), 1h + 3s);
+    }
+    EXPECT_GE(*delays.begin(), 4s);
+    EXPECT_LE(*delays.rbegin(), 5s);
+    EXPECT_GT(delays.size(), 60U);
+    EXPECT_EQ(spreadRetryAfter(0ms, "request"), 0ms);
+}
+
 TEST(RefusalTest, errorsThatARetryCannotFixHaveNoRetryAfter)
 {
     const core::Error error{core::ErrorKind::UnknownRoute, "no route"};
--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -21,6 +21,7 @@
     BackendCrashes,
     PromptsHeld,
     BackendLimitsStated,
+    BackendTurnAways,
     // Answers between processes
     AnswersComplete,
     AnswersBroken,
--- a/packages/report/src/counters.cpp
+++ b/packages/report/src/counters.cpp
@@ -40,6 +40,8 @@
     {Counter::PromptsHeld, {"prompts_held", "Parts of prompts whose requests began to be held"}},
     {Counter::BackendLimitsStated,
      {"backend_limits_stated", "Limits of requests that backend servers began to state, or changed"}},
+    {Counter::BackendTurnAways,
+     {"backend_turn_aways", "Times that a backend server asked for no requests for a while"}},
     {Counter::AnswersComplete, {"answers_complete", "Answers with final frame, chunk count and checksum in order"}},
     {Counter::AnswersBroken, {"answers_broken", "Answers that ended without their final frame"}},
     {Counter::FramesOfUnknownRequests, {"frames_of_unknown_requests", "Frames dropped as their request is unknown"}},
