--- a/packages/forwarding/tests/turnawayfleet.h
+++ b/packages/forwarding/tests/turnawayfleet.h
@@ -68,12 +68,12 @@
     {
         std::size_t most = 0;
         for (const auto &backend : m_backends) {
-            for (const auto &[entry, told] : backend.toldAt) {
-                const auto from = told + TurnAwayRule::graceTime;
+            for (const auto &told : backend.toldAt) {
+                const auto from = told.second + TurnAwayRule::graceTime;
                 const auto until = start + m_options.turningFrom + m_options.turningFor;
                 const auto count
                     = std::count_if(backend.arrivals.begin(), backend.arrivals.end(), [&](const auto &item) {
-                          return item.entry == entry && item.at >= from && item.at < until;
+                          return item.entry == told.first && item.at >= from && item.at < until;
                       });
                 most = std::max(most, static_cast<std::size_t>(count));
             }
