Requests beyond the limits of a whole service are refused at once

Callers waited half of their time, up to 1.5 s, and were then told that nobody could serve them, while all backend servers of the service stated limits. Cause: a full backend server may have a place at any moment, so such requests wait; the turns of a stated limit are known beforehand, but were only asked for one at a time.

Requests that may wait are now sent in order of arrival.

--- a/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
@@ -62,6 +62,10 @@
     bool unreadable(const BackendId &id, core::TimePoint now);
     /// Whether the backend server's limit allows this entry a request now.
     bool mayReceive(const BackendId &id, core::TimePoint now) const;
+    /// Requests that the backend server's limit allows this entry until then; nullopt if it states no limit.
+    std::optional<std::size_t> allowedUntil(const BackendId &id, core::TimePoint until, core::TimePoint now) const;
+    /// This entry's share of the backend server's limit, in requests per second; 0 if it gets no turns.
+    double shareOf(const BackendId &id) const;
     void recordSent(const BackendId &id, core::TimePoint now);
     /// Forgets what the backend server has said: it is gone, or another incarnation.
     void remove(const BackendId &id);
--- a/packages/decisions/include/lycheelanding/decisions/intake/rateshare.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/rateshare.h
@@ -4,6 +4,7 @@
 #include "lycheelanding/core/random.h"
 #include "lycheelanding/decisions/membership/entryposition.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace lycheelanding::decisions::intake {
@@ -34,9 +35,16 @@
     /// Whether this entry is one of those that get turns.
     bool hasTurns() const { return m_hasTurns; }
     bool allows(core::TimePoint now) const { return m_hasTurns && now >= m_nextTurn; }
+    /// Turns from now, those in reserve included, until `until`.
+    std::size_t turnsUntil(core::TimePoint until, core::TimePoint now) const;
+    /// Time between two turns of this entry; zero if it gets none.
+    core::Duration interval() const { return m_hasTurns ? m_interval : core::Duration::zero(); }
     void recordSent(core::TimePoint now);
 
 private:
+    /// The next turn, or the first one that is in reserve.
+    core::TimePoint firstTurn(core::TimePoint now) const;
+
     core::RandomSequence m_random;
     SharedRate m_rate;
     bool m_hasTurns = false;
--- a/packages/decisions/src/intake/backendintake.cpp
+++ b/packages/decisions/src/intake/backendintake.cpp
@@ -132,6 +132,25 @@
     return limit.share.hasTurns() ? limit.share.allows(now) : now >= limit.nextProbe;
 }
 
+std::optional<std::size_t> BackendIntake::allowedUntil(const BackendId &id, core::TimePoint until,
+                                                       core::TimePoint now) const
+{
+    const auto found = m_limits.find(id);
+    if (found == m_limits.end()) {
+        return std::nullopt;
+    }
+    const auto &limit = found->second;
+    const std::size_t probes = limit.nextProbe <= until ? 1 : 0;
+    return limit.share.hasTurns() ? limit.share.turnsUntil(until, now) : probes;
+}
+
+double BackendIntake::shareOf(const BackendId &id) const
+{
+    const auto found = m_limits.find(id);
+    const auto interval = found != m_limits.end() ? found->second.share.interval() : core::Duration::zero();
+    return interval > core::Duration::zero() ? 1.0 / std::chrono::duration<double>(interval).count() : 0.0;
+}
+
 void BackendIntake::recordSent(const BackendId &id, core::TimePoint now)
 {
     const auto found = m_limits.find(id);
--- a/packages/decisions/src/intake/rateshare.cpp
+++ b/packages/decisions/src/intake/rateshare.cpp
@@ -52,10 +52,21 @@
     m_nextTurn = now + (isFirst ? core::Duration::zero() : countedTime) + scaled(interval, m_random.nextUnit());
 }
 
-void RateShare::recordSent(core::TimePoint now)
+core::TimePoint RateShare::firstTurn(core::TimePoint now) const
 {
     const auto reserve = std::max(reserveTime - m_interval, core::Duration::zero());
-    m_nextTurn = std::max(m_nextTurn, now - reserve) + m_interval;
+    return std::max(m_nextTurn, now - reserve);
+}
+
+std::size_t RateShare::turnsUntil(core::TimePoint until, core::TimePoint now) const
+{
+    const auto first = firstTurn(now);
+    return m_hasTurns && first <= until ? static_cast<std::size_t>((until - first) / m_interval) + 1 : 0;
+}
+
+void RateShare::recordSent(core::TimePoint now)
+{
+    m_nextTurn = firstTurn(now) + m_interval;
 }
 
 } // namespace lycheelanding::decisions::intake
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -7,6 +7,7 @@
 #include "lycheelanding/decisions/routing/backendselector.h"
 #include "lycheelanding/forwarding/forwardingconfiguration.h"
 #include "lycheelanding/forwarding/passdurationmodel.h"
+#include "lycheelanding/forwarding/waitlimits.h"
 
 #include <asio/ip/tcp.hpp>
 
@@ -102,10 +103,16 @@
     /// turned this entry away.
     std::optional<core::TimePoint> turnedAwayUntil(const core::ServiceId &service, core::TimePoint now) const;
     /// The error of a request that need not wait, as all backend servers have turned this entry away until after
-    /// `waitDeadline`; nullopt for others.
-    std::optional<core::Error> turnAwayError(const core::ServiceId &service, core::TimePoint waitDeadline,
+    /// its wait deadline; nullopt for others.
+    std::optional<core::Error> turnAwayError(const core::ServiceId &service, const WaitLimits &limits,
                                              std::string_view attemptName, core::TimePoint now) const;
 
+    /// The error of a new request that need not wait behind `waiting` others, as all backend servers of the service
+    /// state limits and these allow too few requests in its time; nullopt for others. Where all of them do, the
+    /// requests that may wait are not overtaken: `limits` is changed so that they do not become late.
+    std::optional<core::Error> limitError(const core::ServiceId &service, std::size_t waiting, WaitLimits &limits,
+                                          std::string_view attemptName, core::TimePoint now) const;
+
     std::optional<RegisteredBackend> find(const BackendId &id) const;
     const std::map<BackendId, RegisteredBackend> &all() const { return m_backends; }
     /// Whether a usable backend server has this endpoint.
--- a/packages/forwarding/include/lycheelanding/forwarding/waitingrequests.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/waitingrequests.h
@@ -97,6 +97,16 @@
         }
     }
 
+    /// Requests of the service that wait.
+    std::size_t count(const core::ServiceId &service) const
+    {
+        std::size_t count = 0;
+        for (auto at = m_queues.lower_bound({service, 0}); at != m_queues.end() && at->first.first == service; ++at) {
+            count += at->second.size();
+        }
+        return count;
+    }
+
     std::size_t size() const
     {
         std::size_t count = 0;
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -43,6 +43,10 @@
 /// Tokens that a running request has left on average: half of a typical answer.
 constexpr std::uint64_t expectedRemainingTokens = 80;
 
+/// Percentage of its waiting time in which a request must get a turn of the limits that backend servers state: the
+/// entries' shares of a limit change with their demand.
+constexpr int maxWaitForLimitPercent = 50;
+
 /// A group is active if it has had an event in this last part of the time, in percent, for which one of its streams has
 /// been inactive.
 constexpr int activePercent = 50;
@@ -321,17 +325,51 @@
     return m_selector.turnedAway(selectorId(id), until, now);
 }
 
-std::optional<core::Error> BackendSet::turnAwayError(const core::ServiceId &service, core::TimePoint waitDeadline,
+std::optional<core::Error> BackendSet::turnAwayError(const core::ServiceId &service, const WaitLimits &limits,
                                                      std::string_view attemptName, core::TimePoint now) const
 {
     const auto until = turnedAwayUntil(service, now);
-    if (!until || *until <= waitDeadline) {
+    if (!until || *until <= limits.waitDeadline) {
         return std::nullopt;
     }
     return core::Error{core::ErrorKind::TurnedAway, "all backend servers have asked for a pause",
                        spreadRetryAfter(std::chrono::ceil<std::chrono::milliseconds>(*until - now), attemptName)};
 }
 
+std::optional<core::Error> BackendSet::limitError(const core::ServiceId &service, std::size_t waiting,
+                                                  WaitLimits &limits, std::string_view attemptName,
+                                                  core::TimePoint now) const
+{
+    const auto until = now + percentOf(limits.waitDeadline - now, maxWaitForLimitPercent);
+    std::size_t allowed = 0;
+    double perSecond = 0.0;
+    bool isKnownService = false;
+    for (const auto &[id, backend] : m_backends) {
+        if (backend.service != service) {
+            continue;
+        }
+        const auto allowedHere = m_intake.allowedUntil(id, until, now);
+        if (!allowedHere) {
+            return std::nullopt;
+        }
+        isKnownService = true;
+        allowed += *allowedHere;
+        perSecond += m_intake.shareOf(id);
+    }
+    if (!isKnownService) {
+        return std::nullopt;
+    }
+    if (waiting < allowed) {
+        limits.lateSince = limits.waitDeadline;
+        return std::nullopt;
+    }
+    const std::chrono::duration<double> untilTurn = perSecond > 0.0
+        ? std::chrono::duration<double>(static_cast<double>(waiting + 1) / perSecond)
+        : std::chrono::duration<double>(limits.waitDeadline - now);
+    return core::Error{core::ErrorKind::Overloaded, "the limits of all backend servers are used up",
+                       spreadRetryAfter(std::chrono::ceil<std::chrono::milliseconds>(untilTurn), attemptName)};
+}
+
 std::optional<core::TimePoint> BackendSet::turnedAwayUntil(const core::ServiceId &service, core::TimePoint now) const
 {
     decisions::routing::RouteRequest route;
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -53,6 +53,12 @@
         }
     });
     startTimer();
+    m_resources.backends.intake().requestArrived(m_terms.service, now());
+    if (const auto error = m_resources.backends.limitError(m_terms.service, m_resources.waiting.count(m_terms.service),
+                                                           m_limits, m_attemptName, now())) {
+        execute(m_attempts->giveUp(*error));
+        return;
+    }
     startAttempt();
 }
 
@@ -80,10 +86,9 @@
 
 bool ForwardedExchange::giveUpUnservable()
 {
-    auto error = m_resources.prompts.holdError(m_terms.promptParts);
-    if (!error) {
-        error = m_resources.backends.turnAwayError(m_terms.service, m_limits.waitDeadline, m_attemptName, now());
-    }
+    const auto held = m_resources.prompts.holdError(m_terms.promptParts);
+    const auto error
+        = held ? held : m_resources.backends.turnAwayError(m_terms.service, m_limits, m_attemptName, now());
     if (error) {
         execute(m_attempts->giveUp(*error));
     }
@@ -95,7 +100,6 @@
     if (giveUpUnservable()) {
         return;
     }
-    m_resources.backends.intake().requestArrived(m_terms.service, now());
     if (m_resources.waiting.hasWaiting(m_terms.service, m_terms.priority, now()) || !trySend()) {
         m_resources.waiting.add(shared_from_this());
     }
--- a/packages/forwarding/tests/limitedbackendstest.cpp
+++ b/packages/forwarding/tests/limitedbackendstest.cpp
@@ -180,6 +180,22 @@
     }
 }
 
+// Requests that the limits leave no turn for waited half of their time before they were refused.
+TEST(LimitedBackends, requestsBeyondTheLimitsOfAWholeServiceAreRefusedAtOnce)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        LimitedFleetOptions options;
+        options.limitedBackends = options.backends;
+        options.limit = 1.0;
+        options.limitedFor = 30s;
+        options.seed = seed;
+        const LimitedFleet fleet(options);
+        const auto from = options.limitedFrom + LimitRule::stableWindow;
+        EXPECT_GT(fleet.refusedSince(from), 0U) << "seed " << seed;
+        EXPECT_EQ(fleet.refusedAfterWaiting(from), 0U) << "seed " << seed;
+    }
+}
+
 // Callers do not spread evenly over the entries. With even shares, entries with many of them refused requests while the
 // shares of the others were left unused.
 TEST(LimitedBackends, entriesWithUnevenDemandUseTheWholeLimit)
--- a/packages/forwarding/tests/limitedfleet.h
+++ b/packages/forwarding/tests/limitedfleet.h
@@ -93,14 +93,22 @@
     std::size_t refusedSince(core::Duration from) const
     {
         return static_cast<std::size_t>(
-            std::count_if(m_refusals.begin(), m_refusals.end(), [from](auto at) { return at - start >= from; }));
+            std::count_if(m_refusals.begin(), m_refusals.end(),
+                          [from](const auto &refusal) { return refusal.arrival + refusal.wait - start >= from; }));
+    }
+
+    /// Requests refused after they had waited, of those that arrived from `from` of the play on.
+    std::size_t refusedAfterWaiting(core::Duration from) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_refusals.begin(), m_refusals.end(), [from](const auto &refusal) {
+                return refusal.arrival - start >= from && refusal.wait > core::Duration::zero();
+            }));
     }
 
     std::size_t arrived = 0;
     std::size_t answered = 0;
     std::size_t refused = 0;
-    /// The longest time that a request waited in an entry before it was refused.
-    core::Duration longestRefusedWait{};
 
 private:
     static constexpr core::TimePoint start{std::chrono::hours(1)};
@@ -111,6 +119,7 @@
     static constexpr core::Duration statusInterval = std::chrono::milliseconds(100);
     static constexpr core::Duration demandInterval = std::chrono::seconds(1);
     static constexpr core::Duration maxWait = std::chrono::milliseconds(1500);
+    static constexpr core::Duration targetWait = maxWait / 10;
     static constexpr std::size_t slots = 12;
 
     struct Arrival
@@ -119,6 +128,12 @@
         std::size_t entry = 0;
     };
 
+    struct Refusal
+    {
+        core::TimePoint arrival;
+        core::Duration wait{};
+    };
+
     struct Backend
     {
         bool isLimited = false;
@@ -133,32 +148,19 @@
     class Request
     {
     public:
-        Request(Entry &entry, core::TimePoint arrival) : m_entry(entry), m_arrival(arrival) { }
+        Request(Entry &entry, const WaitLimits &limits) : m_entry(entry), m_limits(limits) { }
 
-        bool trySend()
-        {
-            if (!std::exchange(m_isCounted, true)) {
-                m_entry.backends.intake().requestArrived(service(), m_entry.fleet.m_now);
-            }
-            return m_entry.fleet.send(m_entry);
-        }
-        void onWaitTimeout()
-        {
-            ++m_entry.fleet.refused;
-            m_entry.fleet.m_refusals.push_back(m_entry.fleet.m_now);
-            m_entry.fleet.longestRefusedWait
-                = std::max(m_entry.fleet.longestRefusedWait, m_entry.fleet.m_now - m_arrival);
-        }
+        bool trySend() { return m_entry.fleet.send(m_entry); }
+        void onWaitTimeout() { m_entry.fleet.refuse(m_limits.waitStart); }
         bool isFinished() const { return false; }
-        core::TimePoint waitDeadline() const { return m_arrival + maxWait; }
+        core::TimePoint waitDeadline() const { return m_limits.waitDeadline; }
         const core::ServiceId &service() const { return m_entry.fleet.m_service; }
         std::uint32_t priority() const { return 0; }
-        bool isLate(core::TimePoint now) const { return now >= m_arrival + maxWait / 2; }
+        bool isLate(core::TimePoint now) const { return now >= m_limits.lateSince; }
 
     private:
         Entry &m_entry;
-        core::TimePoint m_arrival;
-        bool m_isCounted = false;
+        WaitLimits m_limits;
     };
 
     struct Entry
@@ -211,13 +213,33 @@
         for (const auto &entry : m_entries) {
             const double perTick = m_options.arrivals[entry->number] * std::chrono::duration<double>(tickTime).count();
             if (!isQuiet && m_random.nextUnit() < perTick) {
-                ++arrived;
-                entry->waiting.add(std::make_shared<Request>(*entry, m_now));
+                arrive(*entry);
             }
             entry->waiting.advance(m_now);
         }
     }
 
+    void arrive(Entry &entry)
+    {
+        ++arrived;
+        entry.backends.intake().requestArrived(m_service, m_now);
+        WaitLimits limits;
+        limits.waitStart = m_now;
+        limits.waitDeadline = m_now + maxWait;
+        limits.lateSince = m_now + targetWait;
+        if (entry.backends.limitError(m_service, entry.waiting.count(m_service), limits, "7", m_now)) {
+            refuse(m_now);
+            return;
+        }
+        entry.waiting.add(std::make_shared<Request>(entry, limits));
+    }
+
+    void refuse(core::TimePoint arrival)
+    {
+        ++refused;
+        m_refusals.push_back({arrival, m_now - arrival});
+    }
+
     bool send(Entry &entry)
     {
         BackendRequirements request;
@@ -333,7 +355,7 @@
     const core::ServiceId m_service{"app"};
     core::RandomSequence m_random;
     core::TimePoint m_now = start;
-    std::vector<core::TimePoint> m_refusals;
+    std::vector<Refusal> m_refusals;
     core::TimePoint m_nextStatus = start;
     core::TimePoint m_nextDemands = start;
     std::vector<decisions::intake::TotalDemand> m_totals;
--- a/packages/forwarding/tests/requestlogdiagnosistest.cpp
+++ b/packages/forwarding/tests/requestlogdiagnosistest.cpp
@@ -115,6 +115,22 @@
     EXPECT_TRUE(contains(lineOf(lines, "requestOver"), "\"attempts\":0"));
 }
 
+// A request for which the limit of the only backend server left no turn waited half of its time before it was refused.
+TEST(RequestLogDiagnosis, requestBeyondTheStatedLimitIsRefusedWithoutWaiting)
+{
+    LogPipe pipe;
+    EntrySimulation simulation(pipe.descriptor());
+    simulation.configure(RouteKind::NonIdempotent, std::chrono::seconds(4));
+    simulation.addBackend([](const std::string &) {
+        return ScriptedResponse{backendAnswer("few", "Proof: p\r\nAttempt: 77\r\nLimit: 0.001\r\n")};
+    });
+    ASSERT_TRUE(simulation.exchange(callerRequest("POST", "fee=1")).starts_with("HTTP/1.1 200 "));
+    EXPECT_TRUE(simulation.exchange(callerRequest("POST", "fee=1")).starts_with("HTTP/1.1 503 "));
+    simulation.log().flush();
+    const auto refused = lineOf(pipe.linesOf("77"), "refused");
+    EXPECT_TRUE(contains(refused, "the limits of all backend servers are used up")) << refused;
+}
+
 // Late answers: waits at the entry could not be told from queues at the engine.
 TEST(RequestLogDiagnosis, requestThatWasNeverSentLogsThatItWaitedAllTheTime)
 {
