--- a/packages/forwarding/tests/limitedbackendstest.cpp
+++ b/packages/forwarding/tests/limitedbackendstest.cpp
@@ -43,6 +43,14 @@
     return backendAnswer("few", "Proof: p\r\nAttempt: 77\r\n" + fields);
 }
 
+/// Plays the fleet with five seeds.
+void expectLimitsKept(LimitedFleetOptions options)
+{
+    for (options.seed = 1; options.seed <= 5; ++options.seed) {
+        EXPECT_LE(LimitedFleet(options).largestExcess(), 0.0) << "seed " << options.seed;
+    }
+}
+
 } // namespace
 
 // A backend server that says in its answers how many requests a second it takes got as many as before.
@@ -101,66 +109,50 @@
 // The same where a whole service is limited, and requests wait at every entry for their turn.
 TEST(LimitedBackends, entriesTogetherKeepToTheLimitsOfAWholeService)
 {
-    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-        LimitedFleetOptions options;
-        options.limitedBackends = options.backends;
-        options.limit = 1.0;
-        options.seed = seed;
-        const LimitedFleet fleet(options);
-        EXPECT_LE(fleet.largestExcess(), 0.0) << "seed " << seed;
-    }
+    LimitedFleetOptions options;
+    options.limitedBackends = options.backends;
+    options.limit = 1.0;
+    expectLimitsKept(options);
 }
 
 // The same with so many entries that one request from each of them would be too many.
 TEST(LimitedBackends, manyEntriesTogetherKeepToASmallLimit)
 {
-    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-        LimitedFleetOptions options;
-        options.backends = 8;
-        options.limitedBackends = 8;
-        options.limit = 0.5;
-        options.arrivals.assign(22, 2.0);
-        options.quietFrom = 12s;
-        options.quietFor = 4s;
-        options.seed = seed;
-        const LimitedFleet fleet(options);
-        EXPECT_LE(fleet.largestExcess(), 0.0) << "seed " << seed;
-    }
+    LimitedFleetOptions options;
+    options.backends = 8;
+    options.limitedBackends = 8;
+    options.limit = 0.5;
+    options.arrivals.assign(22, 2.0);
+    options.quietFrom = 12s;
+    options.quietFor = 4s;
+    expectLimitsKept(options);
 }
 
 // The same when the entries hear nothing of each other's answers.
 TEST(LimitedBackends, limitIsKeptWithoutReportsOfOtherEntries)
 {
-    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-        LimitedFleetOptions options;
-        options.backends = 8;
-        options.limitedBackends = 8;
-        options.limit = 0.5;
-        options.arrivals.assign(22, 2.0);
-        options.limitedFor = 70s;
-        options.playTime = 90s;
-        options.areReportsLost = true;
-        options.seed = seed;
-        const LimitedFleet fleet(options);
-        EXPECT_LE(fleet.largestExcess(), 0.0) << "seed " << seed;
-    }
+    LimitedFleetOptions options;
+    options.backends = 8;
+    options.limitedBackends = 8;
+    options.limit = 0.5;
+    options.arrivals.assign(22, 2.0);
+    options.limitedFor = 70s;
+    options.playTime = 90s;
+    options.areReportsLost = true;
+    expectLimitsKept(options);
 }
 
 // The same after a time without requests, in which no entry has used its part of the limit.
 TEST(LimitedBackends, burstAfterAQuietTimeKeepsToTheLimit)
 {
-    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-        LimitedFleetOptions options;
-        options.limitedBackends = options.backends;
-        options.limit = 1.0;
-        options.arrivals.assign(8, 12.0);
-        options.limitedFor = 30s;
-        options.quietFrom = 12s;
-        options.quietFor = 10s;
-        options.seed = seed;
-        const LimitedFleet fleet(options);
-        EXPECT_LE(fleet.largestExcess(), 0.0) << "seed " << seed;
-    }
+    LimitedFleetOptions options;
+    options.limitedBackends = options.backends;
+    options.limit = 1.0;
+    options.arrivals.assign(8, 12.0);
+    options.limitedFor = 30s;
+    options.quietFrom = 12s;
+    options.quietFor = 10s;
+    expectLimitsKept(options);
 }
 
 // Entries that get no turns of a small limit have no answers that show its end: they refused requests for good.
