A stated limit without bound does not end the entry

A backend server may state any number. Found by reading. RateShare.rateWithoutBoundAllowsRequestsAndCanBeLowered ended its test program before; rates are now bounded at 1e6 requests a second.

--- a/packages/decisions/src/intake/rateshare.cpp
+++ b/packages/decisions/src/intake/rateshare.cpp
@@ -13,6 +13,8 @@
 
 /// Lower rates are raised to this one: only an answer shows that a backend server takes more again.
 constexpr double minPerSecond = 0.1;
+/// Higher ones are lowered to this one, which no entry reaches: the time between turns is more than zero.
+constexpr double maxPerSecond = 1e6;
 /// Unused turns of this time may be used later, and the last one at any time.
 constexpr core::Duration reserveTime = std::chrono::seconds(1);
 /// What all entries together may have in reserve, in seconds of the rate and in requests: the users' rule allows half
@@ -35,7 +37,7 @@
         return;
     }
     m_rate = rate;
-    const double perSecond = std::max(rate.perSecond, minPerSecond);
+    const double perSecond = std::clamp(rate.perSecond, minPerSecond, maxPerSecond);
     const double maxSharers = std::floor(maxReserveSeconds * perSecond + maxReserveRequests);
     const bool areTooMany = static_cast<double>(rate.position.entries) > maxSharers;
     const double fraction = areTooMany ? 1.0 / maxSharers : rate.fraction;
--- a/packages/decisions/tests/intake/ratesharetest.cpp
+++ b/packages/decisions/tests/intake/ratesharetest.cpp
@@ -120,4 +120,19 @@
     EXPECT_TRUE(share.allows(start + 20ms));
 }
 
+// A backend server may state any number. The time between two turns of a very high rate was zero, and divided by.
+TEST(RateShare, rateWithoutBoundAllowsRequestsAndCanBeLowered)
+{
+    for (const double perSecond : {1e12, 1e300}) {
+        RateShare share(1);
+        share.setRate({perSecond, {4, 0}, 0.25}, start);
+        EXPECT_GT(share.turnsUntil(start + 1s, start), 1U) << perSecond;
+        EXPECT_GT(sentUntil(share, start + 1s), 1) << perSecond;
+        share.setRate({4.0, {4, 0}, 0.25}, start + 1s);
+        const auto turns = share.turnsUntil(start + 11s, start + 1s);
+        EXPECT_GE(turns, 10U) << perSecond;
+        EXPECT_LE(turns, 12U) << perSecond;
+    }
+}
+
 } // namespace lycheelanding::decisions::intake
