Pauses that backend servers ask for are remembered, and requests sent in them are logged; nothing is decided by it yet

TurnAways keeps them by incarnation, apart from registrations. sentInPause (requests_sent_in_pauses_total) tells a request that had chosen its backend server before the pause from one that was chosen during it.

--- a/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
@@ -55,6 +55,8 @@
     const decisions::attempts::AttemptNumber m_number;
     const ReservedBackend m_reserved;
     const core::TimePoint m_startedAt;
+    core::SystemClock m_clock;
+    core::TimePoint m_sentAt;
     http::ClientConnectionPointer m_connection;
     AnswerClass m_answerClass = AnswerClass::Valid;
     http::AnswerHead m_head;
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -3,6 +3,7 @@
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/core/result.h"
 #include "lycheelanding/decisions/intake/backendintake.h"
+#include "lycheelanding/decisions/intake/turnaways.h"
 #include "lycheelanding/decisions/membership/backenddirectory.h"
 #include "lycheelanding/decisions/routing/backendselector.h"
 #include "lycheelanding/forwarding/forwardingconfiguration.h"
@@ -46,6 +47,8 @@
 struct ChosenBackend
 {
     BackendId id;
+    /// Tells its incarnations apart.
+    std::uint64_t startedAtMs = 0;
     asio::ip::tcp::endpoint endpoint;
     decisions::routing::Choice choice;
 };
@@ -97,8 +100,14 @@
     decisions::intake::BackendIntake &intake() { return m_intake; }
     const decisions::intake::BackendIntake &intake() const { return m_intake; }
 
-    /// The backend server wants no requests of this entry until then. Returns whether it has not said so before.
-    bool recordTurnedAway(const BackendId &id, core::TimePoint until, core::TimePoint now);
+    /// Returns whether the backend server gets no requests from now on that got some before.
+    bool recordTurnedAway(const decisions::intake::TurnAway &turnAway, core::TimePoint now);
+    /// The pause that this incarnation of a backend server has asked for, whether it is registered or not.
+    std::optional<decisions::intake::Pause> pauseOf(const BackendId &id, std::uint64_t startedAtMs,
+                                                    core::TimePoint now) const
+    {
+        return m_turnAways.pauseOf(id, startedAtMs, now);
+    }
     /// The earliest time at which a backend server of the service takes requests again; nullopt unless all of them have
     /// turned this entry away.
     std::optional<core::TimePoint> turnedAwayUntil(const core::ServiceId &service, core::TimePoint now) const;
@@ -153,6 +162,7 @@
     std::map<AttemptId, BackendId> m_attempts;
     decisions::routing::BackendSelector m_selector;
     decisions::intake::BackendIntake m_intake;
+    decisions::intake::TurnAways m_turnAways;
 };
 
 /// Parses an endpoint of the form `IPv4 address:port`.
--- a/packages/forwarding/include/lycheelanding/forwarding/intaketracker.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/intaketracker.h
@@ -25,6 +25,18 @@
     core::TimePoint time;
 };
 
+/// An attempt whose answer has begun.
+struct AnsweredAttempt
+{
+    BackendId backend;
+    /// Tells its incarnations apart.
+    std::uint64_t startedAtMs = 0;
+    /// When the backend server was chosen.
+    core::TimePoint chosenAt;
+    /// When the request was sent, which takes longer if a connection had to be opened.
+    core::TimePoint sentAt;
+};
+
 /// Reads from the answers of backend servers, and from the reports of other entries, which requests they take: limits
 /// of requests per second, and times without any. Logs their changes. Used on one thread.
 class IntakeTracker
@@ -37,15 +49,16 @@
     /// The handler passes changes that this entry has learnt from answers on to the other entries.
     void setReportHandler(std::function<void(const LimitReport &)> handler) { m_onReport = std::move(handler); }
 
-    /// `sentAt`: when the request was sent.
-    void answered(const BackendId &id, const http::AnswerHead &head, const FieldNames &names, core::TimePoint sentAt);
+    void answered(const AnsweredAttempt &attempt, const http::AnswerHead &head, const FieldNames &names);
     /// Applies a report of another entry.
     void apply(const LimitReport &report);
 
 private:
     void readLimit(const RegisteredBackend &backend, const http::AnswerHead &head, const FieldNames &names,
                    core::TimePoint sentAt);
-    void readRetryDelay(const BackendId &id, const http::AnswerHead &head);
+    void readRetryDelay(const AnsweredAttempt &attempt, const http::AnswerHead &head);
+    /// A request was turned away that was sent although the backend server had asked for none.
+    void reportIgnoredPause(const AnsweredAttempt &attempt, core::TimePoint now);
     void reportUnreadable(const BackendId &id, std::string_view field);
     /// Returns whether it changes what this entry knows.
     bool applyChange(const LimitReport &report);
--- a/packages/forwarding/src/backendattempt.cpp
+++ b/packages/forwarding/src/backendattempt.cpp
@@ -33,6 +33,7 @@
 
 void BackendAttempt::send(const http::HttpRequest &request, ForwardedFields fields, http::AnswerHandlers handlers)
 {
+    m_sentAt = m_clock.now();
     fields.expectedBackend = backend().text();
     m_connection->send(forwardedRequest(request, fields, m_resources.names), request.method == "HEAD",
                        std::move(handlers));
@@ -47,7 +48,8 @@
         m_resources.onLeaving(backend());
     }
     if (isOwnAnswer(m_answerClass)) {
-        m_resources.intakeTracker.answered(backend(), m_head, m_resources.names, m_startedAt);
+        m_resources.intakeTracker.answered({backend(), m_reserved.backend.startedAtMs, m_startedAt, m_sentAt}, m_head,
+                                           m_resources.names);
     }
 }
 
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -278,7 +278,7 @@
     m_selector.requestSent(attempt, choice, request.expectedTokens, now);
     m_attempts[attempt] = id;
     m_intake.recordSent(id, now);
-    return ChosenBackend{id, m_endpoints.at(id), choice};
+    return ChosenBackend{id, m_backends.at(id).startedAtMs, m_endpoints.at(id), choice};
 }
 
 void BackendSet::recordFirstEvent(AttemptId attempt, std::uint64_t promptTokens, core::TimePoint now)
@@ -320,9 +320,14 @@
     m_attempts.erase(found);
 }
 
-bool BackendSet::recordTurnedAway(const BackendId &id, core::TimePoint until, core::TimePoint now)
+bool BackendSet::recordTurnedAway(const decisions::intake::TurnAway &turnAway, core::TimePoint now)
 {
-    return m_selector.turnedAway(selectorId(id), until, now);
+    m_turnAways.record(turnAway, now);
+    const auto registered = m_backends.find(turnAway.backend);
+    if (registered == m_backends.end() || registered->second.startedAtMs != turnAway.startedAtMs) {
+        return false;
+    }
+    return m_selector.turnedAway(selectorId(turnAway.backend), turnAway.until, now);
 }
 
 std::optional<core::Error> BackendSet::turnAwayError(const core::ServiceId &service, const WaitLimits &limits,
--- a/packages/forwarding/src/intaketracker.cpp
+++ b/packages/forwarding/src/intaketracker.cpp
@@ -20,16 +20,15 @@
 
 } // namespace
 
-void IntakeTracker::answered(const BackendId &id, const http::AnswerHead &head, const FieldNames &names,
-                             core::TimePoint sentAt)
+void IntakeTracker::answered(const AnsweredAttempt &attempt, const http::AnswerHead &head, const FieldNames &names)
 {
-    const auto backend = m_backends.all().find(id);
+    const auto backend = m_backends.all().find(attempt.backend);
     if (backend == m_backends.all().end()) {
         // It was removed after the request was sent.
         return;
     }
-    readLimit(backend->second, head, names, sentAt);
-    readRetryDelay(id, head);
+    readLimit(backend->second, head, names, attempt.chosenAt);
+    readRetryDelay(attempt, head);
 }
 
 void IntakeTracker::reportUnreadable(const BackendId &id, std::string_view field)
@@ -39,8 +38,25 @@
     }
 }
 
-void IntakeTracker::readRetryDelay(const BackendId &id, const http::AnswerHead &head)
+void IntakeTracker::reportIgnoredPause(const AnsweredAttempt &attempt, core::TimePoint now)
 {
+    const auto pause = m_backends.pauseOf(attempt.backend, attempt.startedAtMs, now);
+    if (!pause || attempt.sentAt < pause->toldAt) {
+        return;
+    }
+    const auto sinceTold = [&pause](core::TimePoint time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time - pause->toldAt).count();
+    };
+    m_metrics.increment(report::Counter::RequestsSentInPauses);
+    m_log.write(LogImportance::Request, "sentInPause",
+                {{"backend", attempt.backend.text()},
+                 {"chosenAfterMs", sinceTold(attempt.chosenAt)},
+                 {"sentAfterMs", sinceTold(attempt.sentAt)}});
+}
+
+void IntakeTracker::readRetryDelay(const AnsweredAttempt &attempt, const http::AnswerHead &head)
+{
+    const auto &id = attempt.backend;
     const auto delay = statedRetryDelay(head);
     if (!delay) {
         return;
@@ -53,7 +69,8 @@
     const auto now = m_clock.now();
     const std::chrono::duration<double> bounded(std::min(*seconds, maxRetryDelaySeconds));
     const auto time = std::chrono::duration_cast<core::Duration>(bounded);
-    if (m_backends.recordTurnedAway(id, now + time, now)) {
+    reportIgnoredPause(attempt, now);
+    if (m_backends.recordTurnedAway({id, attempt.startedAtMs, now + time}, now)) {
         m_metrics.increment(report::Counter::BackendTurnAways);
         m_log.write(LogImportance::State, "backendTurnedAway",
                     {{"backend", id.text()},
--- a/packages/forwarding/tests/turnawayfleet.h
+++ b/packages/forwarding/tests/turnawayfleet.h
@@ -257,8 +257,8 @@
         }
         if (event.answer == Answer::TurnedAway) {
             m_backends[event.backend].toldAt.try_emplace(event.entry, m_now);
-            entry.backends.recordTurnedAway(idOf(event.backend), start + m_options.turningFrom + m_options.turningFor,
-                                            m_now);
+            const auto until = start + m_options.turningFrom + m_options.turningFor;
+            entry.backends.recordTurnedAway({idOf(event.backend), 0, until}, m_now);
         } else {
             ++rejectedAsFull;
         }
--- a/packages/rankgroups/tests/limitnoticestest.cpp
+++ b/packages/rankgroups/tests/limitnoticestest.cpp
@@ -21,7 +21,8 @@
 {
     forwarding::FieldNames names;
     names.requestLimit = "Limit";
-    entry.server.intakeTracker().answered(backend, headWith(limit), names, core::SystemClock().now());
+    const auto now = core::SystemClock().now();
+    entry.server.intakeTracker().answered({backend, 0, now, now}, headWith(limit), names);
 }
 
 } // namespace
--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -22,6 +22,7 @@
     PromptsHeld,
     BackendLimitsStated,
     BackendTurnAways,
+    RequestsSentInPauses,
     // Answers between processes
     AnswersComplete,
     AnswersBroken,
