Failing tests: backend servers that ask for a pause get requests in it

With a registration that lapses and comes back, while a connection opens, and after a 503 that does not say that the request has not run.

--- a/packages/forwarding/tests/turnawayfleet.h
+++ b/packages/forwarding/tests/turnawayfleet.h
@@ -34,6 +34,8 @@
     /// Requests per second at each entry.
     double arrivals = 25.0;
     bool isIdempotent = true;
+    /// When the registrations of the turning backend servers lapse and come back, after turningFrom; zero: never.
+    core::Duration registersAgainAfter{};
     core::Duration maxWait = std::chrono::milliseconds(750);
     core::Duration playTime = std::chrono::seconds(20);
     std::uint64_t seed = 1;
@@ -49,12 +51,7 @@
         for (std::size_t entry = 0; entry < options.entries; ++entry) {
             m_entries.push_back(std::make_unique<Entry>(*this, options.seed * 100 + entry));
             for (std::size_t number = 0; number < options.backends; ++number) {
-                RegisteredBackend backend;
-                backend.id = idOf(number);
-                backend.service = m_service;
-                backend.address = "10.0.0." + std::to_string(number + 1) + ":80";
-                backend.slots = slots;
-                m_entries.back()->backends.apply({decisions::membership::BackendUsable{backend}}, m_now);
+                registerBackend(*m_entries.back(), number);
             }
             m_entries.back()->backends.setPosition({options.entries, entry}, m_now);
         }
@@ -177,6 +174,28 @@
 
     static BackendId idOf(std::size_t number) { return BackendId("backend-" + std::to_string(number)); }
 
+    void registerBackend(Entry &entry, std::size_t number)
+    {
+        RegisteredBackend backend;
+        backend.id = idOf(number);
+        backend.service = m_service;
+        backend.address = "10.0.0." + std::to_string(number + 1) + ":80";
+        backend.slots = slots;
+        entry.backends.apply({decisions::membership::BackendUsable{backend}}, m_now);
+    }
+
+    void registerAgain()
+    {
+        for (const auto &entry : m_entries) {
+            for (std::size_t number = 0; number < m_options.turningBackends; ++number) {
+                entry->backends.apply({decisions::membership::BackendUnusable{
+                                          idOf(number), decisions::membership::DirectoryReason::Lapsed}},
+                                      m_now);
+                registerBackend(*entry, number);
+            }
+        }
+    }
+
     void refuse(core::TimePoint arrival)
     {
         ++refused;
@@ -185,6 +204,11 @@
 
     void tick()
     {
+        const auto registersAgainAt = start + m_options.turningFrom + m_options.registersAgainAfter;
+        if (m_options.registersAgainAfter > core::Duration::zero() && m_now <= registersAgainAt
+            && registersAgainAt < m_now + tickTime) {
+            registerAgain();
+        }
         m_now += tickTime;
         while (!m_events.empty() && m_events.begin()->first <= m_now) {
             const auto event = m_events.begin()->second;
--- a/packages/forwarding/tests/turnedawaytest.cpp
+++ b/packages/forwarding/tests/turnedawaytest.cpp
@@ -39,6 +39,17 @@
     std::string lastAnswer;
 };
 
+/// The backend server has turned another request away for ten minutes.
+void turnAwayBackend(EntrySimulation &simulation, const BackendId &backend)
+{
+    http::AnswerHead head;
+    head.status = 503;
+    head.headers.add("Not-Run", "1");
+    head.headers.add("Retry-After", "600");
+    const auto now = core::SystemClock().now();
+    simulation.entry().intakeTracker().answered({backend, 0, now, now}, head, FieldNames());
+}
+
 } // namespace
 
 // A backend server that asks for no requests for a time got one of each entry every 150 ms.
@@ -105,6 +116,63 @@
     }
 }
 
+// Its registration lapsed and came back, as after an outage of the store, and the pause was forgotten.
+TEST(TurnedAway, pauseOutlivesTheRegistration)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        TurnAwayFleetOptions options;
+        options.turningBackends = 2;
+        options.arrivals = 60.0;
+        options.registersAgainAfter = 2s;
+        options.seed = seed;
+        const TurnAwayFleet fleet(options);
+        EXPECT_LE(fleet.mostAgainstTheRule(), TurnAwayRule::allowed) << "seed " << seed;
+        EXPECT_GE(fleet.mostOnReturn(), 1U) << "it is used again; seed " << seed;
+    }
+}
+
+// The answer came while the registration was away, and the pause was not recorded.
+TEST(TurnedAway, pauseOfABackendWhoseRegistrationIsAwayIsKept)
+{
+    EntrySimulation simulation;
+    simulation.configure(RouteKind::Idempotent);
+    auto &backend = simulation.addBackend([](const std::string &) { return ScriptedResponse{backendAnswer("sound")}; });
+    simulation.removeBackend(1);
+    turnAwayBackend(simulation, BackendId("backend-1"));
+    simulation.addAddress("backend-1", backend.address());
+    EXPECT_TRUE(simulation.exchange(callerRequest("GET")).starts_with("HTTP/1.1 503 "));
+    EXPECT_TRUE(backend.requests.empty());
+}
+
+// A request had chosen its backend server and waited for a connection when the backend server turned another one away.
+// It was sent all the same.
+TEST(TurnedAway, chosenBackendThatAsksForAPauseBeforeItsConnectionIsOpenGetsNoRequest)
+{
+    EntrySimulation simulation;
+    simulation.configure(RouteKind::NonIdempotent);
+    auto &first = simulation.addBackend([](const std::string &) { return ScriptedResponse{backendAnswer("first")}; });
+    auto socket = simulation.connect();
+    asio::write(socket, asio::buffer(callerRequest("POST", "release")));
+    simulation.runUntil(
+        [&simulation] { return simulation.entry().metrics().value(report::Counter::ConnectionsOpened) == 1; });
+    simulation.addBackend([](const std::string &) { return ScriptedResponse{backendAnswer("second")}; });
+    turnAwayBackend(simulation, BackendId("backend-1"));
+    std::string answer;
+    bool isFinished = false;
+    asio::async_read(socket, asio::dynamic_buffer(answer), [&isFinished](const auto &, auto) { isFinished = true; });
+    simulation.runUntil([&isFinished] { return isFinished; });
+    EXPECT_TRUE(first.requests.empty());
+    EXPECT_TRUE(answer.ends_with("second")) << answer;
+}
+
+// A 503 that must not be passed on, as it does not say that the request has not run, was not read at all.
+TEST(TurnedAway, pauseInAnAnswerThatIsNotPassedOnIsKept)
+{
+    const TurnAwaySimulation entry("HTTP/1.1 503 Service Unavailable\r\nAttempt: 77\r\nRetry-After: 600\r\n"
+                                   "Content-Length: 0\r\n\r\n");
+    EXPECT_LE(entry.turnedAway, static_cast<int>(TurnAwayRule::allowed));
+}
+
 // What nobody takes waited at the entry for seconds, and the caller was told a time at which it was refused again.
 TEST(TurnedAway, requestThatAllBackendsTurnAwayIsRefusedAtOnceWithTheEarliestTime)
 {
