A pause that a backend server asks for outlives its registration

Callers' requests went to a backend server in the time for which it had asked for none, once its registration had lapsed, become unreadable or been removed for a moment and come back. BackendSet erased all that it knew with the registration, although the same incarnation came back; an answer that arrived while the registration was away was not read. Now the pause holds for the incarnation (id and start time), whatever happens to the registration.

--- a/packages/decisions/include/lycheelanding/decisions/intake/turnaways.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/turnaways.h
@@ -33,7 +33,8 @@
 class TurnAways
 {
 public:
-    void record(const TurnAway &turnAway, core::TimePoint now);
+    /// Returns whether this begins a pause.
+    bool record(const TurnAway &turnAway, core::TimePoint now);
     /// nullopt if this incarnation has asked for none, or for none that lasts still.
     std::optional<Pause> pauseOf(const BackendId &id, std::uint64_t startedAtMs, core::TimePoint now) const;
     /// Pauses that are kept in memory.
--- a/packages/decisions/src/intake/turnaways.cpp
+++ b/packages/decisions/src/intake/turnaways.cpp
@@ -4,20 +4,17 @@
 
 namespace lycheelanding::decisions::intake {
 
-void TurnAways::record(const TurnAway &turnAway, core::TimePoint now)
+bool TurnAways::record(const TurnAway &turnAway, core::TimePoint now)
 {
     std::erase_if(m_pauses, [now](const auto &item) { return item.second.pause.until <= now; });
-    const auto [found, isNew]
-        = m_pauses.try_emplace(turnAway.backend, Entry{turnAway.startedAtMs, {now, turnAway.until}});
-    if (isNew) {
-        return;
-    }
-    if (found->second.startedAtMs != turnAway.startedAtMs) {
-        found->second = {turnAway.startedAtMs, {now, turnAway.until}};
-        return;
+    const auto known = m_pauses.find(turnAway.backend);
+    if (known == m_pauses.end() || known->second.startedAtMs != turnAway.startedAtMs) {
+        m_pauses[turnAway.backend] = {turnAway.startedAtMs, {now, turnAway.until}};
+        return true;
     }
     // Answers to requests that were sent before say the same again.
-    found->second.pause.until = std::max(found->second.pause.until, turnAway.until);
+    known->second.pause.until = std::max(known->second.pause.until, turnAway.until);
+    return false;
 }
 
 std::optional<Pause> TurnAways::pauseOf(const BackendId &id, std::uint64_t startedAtMs, core::TimePoint now) const
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -100,7 +100,7 @@
     decisions::intake::BackendIntake &intake() { return m_intake; }
     const decisions::intake::BackendIntake &intake() const { return m_intake; }
 
-    /// Returns whether the backend server gets no requests from now on that got some before.
+    /// Returns whether this begins a pause.
     bool recordTurnedAway(const decisions::intake::TurnAway &turnAway, core::TimePoint now);
     /// The pause that this incarnation of a backend server has asked for, whether it is registered or not.
     std::optional<decisions::intake::Pause> pauseOf(const BackendId &id, std::uint64_t startedAtMs,
@@ -137,6 +137,8 @@
     };
 
     void updateCandidates();
+    /// Sends nothing to the backend server for the rest of the pause that it has asked for.
+    void resumePause(const RegisteredBackend &backend, core::TimePoint now);
     bool canAccept(const RegisteredBackend &backend, const BackendRequirements &request, core::TimePoint now) const;
     /// Number of requests that may be in progress at the backend server.
     double capacityOf(const RegisteredBackend &backend, const BackendLoad &load, const BackendRequirements &request,
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -111,8 +111,14 @@
             m_states.insert({backend.id, BackendState{std::nullopt, {}, now}});
         }
     }
-    if (!changes.empty()) {
-        updateCandidates();
+    if (changes.empty()) {
+        return;
+    }
+    updateCandidates();
+    for (const auto &change : changes) {
+        if (const auto *usable = std::get_if<BackendUsable>(&change)) {
+            resumePause(usable->backend, now);
+        }
     }
 }
 
@@ -322,12 +328,19 @@
 
 bool BackendSet::recordTurnedAway(const decisions::intake::TurnAway &turnAway, core::TimePoint now)
 {
-    m_turnAways.record(turnAway, now);
+    const bool isNew = m_turnAways.record(turnAway, now);
     const auto registered = m_backends.find(turnAway.backend);
-    if (registered == m_backends.end() || registered->second.startedAtMs != turnAway.startedAtMs) {
-        return false;
+    if (registered != m_backends.end()) {
+        resumePause(registered->second, now);
+    }
+    return isNew;
+}
+
+void BackendSet::resumePause(const RegisteredBackend &backend, core::TimePoint now)
+{
+    if (const auto pause = pauseOf(backend.id, backend.startedAtMs, now)) {
+        m_selector.turnedAway(selectorId(backend.id), pause->until, now);
     }
-    return m_selector.turnedAway(selectorId(turnAway.backend), turnAway.until, now);
 }
 
 std::optional<core::Error> BackendSet::turnAwayError(const core::ServiceId &service, const WaitLimits &limits,
--- a/packages/forwarding/src/intaketracker.cpp
+++ b/packages/forwarding/src/intaketracker.cpp
@@ -23,11 +23,10 @@
 void IntakeTracker::answered(const AnsweredAttempt &attempt, const http::AnswerHead &head, const FieldNames &names)
 {
     const auto backend = m_backends.all().find(attempt.backend);
-    if (backend == m_backends.all().end()) {
-        // It was removed after the request was sent.
-        return;
+    if (backend != m_backends.all().end()) {
+        readLimit(backend->second, head, names, attempt.chosenAt);
     }
-    readLimit(backend->second, head, names, attempt.chosenAt);
+    // The registration may have lapsed since, and come back before the pause ends.
     readRetryDelay(attempt, head);
 }
 
