A request that waits for its connection is not sent in a pause that begins meanwhile

It had chosen its backend server before another request was turned away there, and was sent once its connection was open, up to a second later where packets are lost: only the registration was looked at then. Now it chooses again, as where the backend server has left; it has not been sent, so nothing is used up.

--- a/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
@@ -28,6 +28,11 @@
     const http::AnswerHead &head() const { return m_head; }
     /// Parts of the body that have arrived.
     std::size_t bodyParts() const { return m_bodyParts; }
+    /// Whether the backend server has neither left nor asked for a pause since it was chosen.
+    bool isBackendUsable(core::TimePoint now) const
+    {
+        return m_resources.backends.isStillUsable(m_reserved.backend, now);
+    }
     bool hasOpenConnection() const { return m_connection && m_connection->isOpen(); }
 
     /// Takes an idle connection to the backend server; false if there is none.
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -108,6 +108,11 @@
     {
         return m_turnAways.pauseOf(id, startedAtMs, now);
     }
+    /// Whether a request may still be sent to the backend server that was chosen for it some time before.
+    bool isStillUsable(const ChosenBackend &chosen, core::TimePoint now) const
+    {
+        return m_backends.contains(chosen.id) && !pauseOf(chosen.id, chosen.startedAtMs, now);
+    }
     /// The earliest time at which a backend server of the service takes requests again; nullopt unless all of them have
     /// turned this entry away.
     std::optional<core::TimePoint> turnedAwayUntil(const core::ServiceId &service, core::TimePoint now) const;
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -164,8 +164,7 @@
         execute(m_attempts->notSent(attempt, core::errorOf(status), now()));
         return;
     }
-    if (!m_resources.backends.all().contains(m_attempt->backend())) {
-        // It has left since it was chosen.
+    if (!m_attempt->isBackendUsable(now())) {
         m_tried.pop_back();
         endAttempt(Outcome::Cancelled);
         m_attempts->withdrawn(attempt);
