A 503 asks for a pause also where it does not say that the request has not run

Such an answer must not be passed on, as its status would promise that the request has not run, and its Retry-After was skipped with it: the backend server got request after request. Only an answer of another backend server at the address is skipped now.

--- a/packages/forwarding/include/lycheelanding/forwarding/intaketracker.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/intaketracker.h
@@ -35,6 +35,7 @@
     core::TimePoint chosenAt;
     /// When the request was sent, which takes longer if a connection had to be opened.
     core::TimePoint sentAt;
+    AnswerClass answerClass = AnswerClass::Valid;
 };
 
 /// Reads from the answers of backend servers, and from the reports of other entries, which requests they take: limits
--- a/packages/forwarding/src/backendattempt.cpp
+++ b/packages/forwarding/src/backendattempt.cpp
@@ -47,10 +47,8 @@
     if (m_answerClass != AnswerClass::Misdirected && isLeaving(m_head, m_resources.names)) {
         m_resources.onLeaving(backend());
     }
-    if (isOwnAnswer(m_answerClass)) {
-        m_resources.intakeTracker.answered({backend(), m_reserved.backend.startedAtMs, m_startedAt, m_sentAt}, m_head,
-                                           m_resources.names);
-    }
+    m_resources.intakeTracker.answered(
+        {backend(), m_reserved.backend.startedAtMs, m_startedAt, m_sentAt, m_answerClass}, m_head, m_resources.names);
 }
 
 void BackendAttempt::recordBodyPart(std::uint64_t promptTokens, std::optional<core::Duration> interval,
--- a/packages/forwarding/src/intaketracker.cpp
+++ b/packages/forwarding/src/intaketracker.cpp
@@ -23,11 +23,14 @@
 void IntakeTracker::answered(const AnsweredAttempt &attempt, const http::AnswerHead &head, const FieldNames &names)
 {
     const auto backend = m_backends.all().find(attempt.backend);
-    if (backend != m_backends.all().end()) {
+    if (backend != m_backends.all().end() && isOwnAnswer(attempt.answerClass)) {
         readLimit(backend->second, head, names, attempt.chosenAt);
     }
-    // The registration may have lapsed since, and come back before the pause ends.
-    readRetryDelay(attempt, head);
+    // Also from an answer that must not be passed on: what a 503 asks for does not depend on whether the request has
+    // run. The registration may have lapsed since, and come back before the pause ends.
+    if (attempt.answerClass != AnswerClass::Misdirected) {
+        readRetryDelay(attempt, head);
+    }
 }
 
 void IntakeTracker::reportUnreadable(const BackendId &id, std::string_view field)
