The limit that a backend server states outlives its registration

The same cause as for pauses, found by looking for it elsewhere: a registration that lapsed and came back made each entry forget the limit, and send what its load allows until the next answer. Now it is kept for the incarnation, for two minutes without a registration.

LimitedBackends.limitOutlivesTheRegistration failed before. Other state that goes with the registration: ejections and slow start (the entry's own suspicion, made anew by the next failures), backoff after a refusal (150 ms), load (reported ten times a second), and "leaving", which BackendDirectory keeps.

--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -141,7 +141,14 @@
         core::TimePoint addedAt;
     };
 
+    struct AbsentBackend
+    {
+        std::uint64_t startedAtMs = 0;
+        core::TimePoint since;
+    };
+
     void updateCandidates();
+    void forgetLimits(core::TimePoint now);
     /// Sends nothing to the backend server for the rest of the pause that it has asked for.
     void resumePause(const RegisteredBackend &backend, core::TimePoint now);
     bool canAccept(const RegisteredBackend &backend, const BackendRequirements &request, core::TimePoint now) const;
@@ -169,6 +176,8 @@
     std::map<AttemptId, BackendId> m_attempts;
     decisions::routing::BackendSelector m_selector;
     decisions::intake::BackendIntake m_intake;
+    /// Backend servers that state a limit, and whose registrations are away: they may come back.
+    std::map<BackendId, AbsentBackend> m_limitsOfAbsent;
     decisions::intake::TurnAways m_turnAways;
 };
 
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -43,6 +43,9 @@
 /// Tokens that a running request has left on average: half of a typical answer.
 constexpr std::uint64_t expectedRemainingTokens = 80;
 
+/// How long the limit of a backend server without a registration is remembered.
+constexpr std::chrono::minutes absentTimeToLive{2};
+
 /// Percentage of its waiting time in which a request must get a turn of the limits that backend servers state: the
 /// entries' shares of a limit change with their demand.
 constexpr int maxWaitForLimitPercent = 50;
@@ -89,15 +92,25 @@
 
 void BackendSet::apply(const decisions::membership::DirectoryChanges &changes, core::TimePoint now)
 {
+    forgetLimits(now);
     for (const auto &change : changes) {
         if (const auto *unusable = std::get_if<BackendUnusable>(&change)) {
+            const auto known = m_backends.find(unusable->id);
+            if (known != m_backends.end() && m_intake.limitOf(unusable->id)) {
+                m_limitsOfAbsent.insert_or_assign(unusable->id, AbsentBackend{known->second.startedAtMs, now});
+            } else if (known != m_backends.end()) {
+                m_intake.remove(unusable->id);
+            }
             m_backends.erase(unusable->id);
             m_endpoints.erase(unusable->id);
             m_states.erase(unusable->id);
-            m_intake.remove(unusable->id);
             continue;
         }
         const auto &backend = std::get<BackendUsable>(change).backend;
+        const auto absent = m_limitsOfAbsent.extract(backend.id);
+        if (!absent.empty() && absent.mapped().startedAtMs != backend.startedAtMs) {
+            m_intake.remove(backend.id);
+        }
         const auto known = m_backends.find(backend.id);
         if (known != m_backends.end() && known->second.startedAtMs != backend.startedAtMs) {
             m_intake.remove(backend.id);
@@ -122,6 +135,17 @@
     }
 }
 
+void BackendSet::forgetLimits(core::TimePoint now)
+{
+    std::erase_if(m_limitsOfAbsent, [this, now](const auto &item) {
+        const bool isOver = now - item.second.since >= absentTimeToLive;
+        if (isOver) {
+            m_intake.remove(item.first);
+        }
+        return isOver;
+    });
+}
+
 void BackendSet::setPosition(const decisions::membership::EntryPosition &position, core::TimePoint now)
 {
     m_entries = position.entries;
--- a/packages/forwarding/tests/limitedbackendstest.cpp
+++ b/packages/forwarding/tests/limitedbackendstest.cpp
@@ -65,6 +65,37 @@
     }
 }
 
+// Its registration lapsed and came back, as after an outage of the store, and the limit was forgotten.
+TEST(LimitedBackends, limitOutlivesTheRegistration)
+{
+    using decisions::membership::BackendUnusable;
+    using decisions::membership::BackendUsable;
+    constexpr core::TimePoint start{1h};
+    RegisteredBackend backend;
+    backend.id = BackendId("a");
+    backend.service = core::ServiceId("app");
+    backend.address = "10.0.0.1:80";
+    backend.startedAtMs = 7;
+    const BackendUnusable lapsed{backend.id, decisions::membership::DirectoryReason::Lapsed};
+    BackendSet backends(core::DataCentreId("a"), 1);
+    backends.apply({BackendUsable{backend}}, start);
+    backends.intake().limitStated({backend.id, backend.service, 2.5, start}, start);
+
+    backends.apply({lapsed}, start + 1s);
+    backends.apply({BackendUsable{backend}}, start + 3s);
+    EXPECT_EQ(backends.intake().limitOf(backend.id), 2.5);
+
+    backends.apply({lapsed}, start + 4s);
+    backend.startedAtMs = 8;
+    backends.apply({BackendUsable{backend}}, start + 6s);
+    EXPECT_FALSE(backends.intake().limitOf(backend.id)) << "another incarnation has stated none";
+
+    backends.intake().limitStated({backend.id, backend.service, 2.5, start + 7s}, start + 7s);
+    backends.apply({lapsed}, start + 8s);
+    backends.apply({}, start + 1h);
+    EXPECT_EQ(backends.intake().limitedCount(), 0U) << "it is not remembered for ever";
+}
+
 // What another backend server, or broken bytes, say at its address is no word of the backend server.
 TEST(LimitedBackends, limitsOfOthersAndUnreadableOnesChangeNothing)
 {
