--- a/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
@@ -72,6 +72,8 @@
     std::size_t attempts = 0;
     /// Ids of the parts of the prompt that other requests may share, separated by spaces.
     std::string promptParts;
+    /// Equal for repeats of the request.
+    std::string digest;
 };
 
 /// Writes the lines of one request to the event log.
--- a/packages/forwarding/include/lycheelanding/forwarding/requestterms.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestterms.h
@@ -21,6 +21,8 @@
     core::OrganisationId organisation;
     TokenCounts tokens;
     decisions::quarantine::PromptParts promptParts;
+    /// Digest of what repeats of the request have in common: host, target, organisation and body.
+    std::string digest;
     core::TimePoint deadline;
     TimeLimitSource deadlineSource = TimeLimitSource::Route;
     std::uint32_t priority = 0;
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -396,7 +396,7 @@
 
 FailedAttemptLine ForwardedExchange::failedAttemptLine(const core::Error &error) const
 {
-    return {error, m_tried.back().text(), m_tried.size(), joinedText(m_terms.promptParts)};
+    return {error, m_tried.back().text(), m_tried.size(), joinedText(m_terms.promptParts), m_terms.digest};
 }
 
 void ForwardedExchange::execute(const RetryPossible &action)
--- a/packages/forwarding/src/requestlog.cpp
+++ b/packages/forwarding/src/requestlog.cpp
@@ -47,6 +47,7 @@
                  {"detail", failed.error.detail},
                  {"backend", failed.backend},
                  {"promptParts", failed.promptParts},
+                 {"digest", failed.digest},
                  {"attempts", static_cast<std::int64_t>(failed.attempts)}});
 }
 
@@ -59,6 +60,7 @@
                  {"detail", failed.error.detail},
                  {"backend", failed.backend},
                  {"promptParts", failed.promptParts},
+                 {"digest", failed.digest},
                  {"attempts", static_cast<std::int64_t>(failed.attempts)}});
 }
 
--- a/packages/forwarding/src/requestterms.cpp
+++ b/packages/forwarding/src/requestterms.cpp
@@ -3,7 +3,10 @@
 #include "lycheelanding/core/stablehash.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <chrono>
+#include <string_view>
 
 namespace lycheelanding::forwarding {
 
@@ -13,6 +16,20 @@
 /// caller plus the processing time of the entry.
 constexpr std::chrono::milliseconds answerMargin{20};
 
+std::string digestOf(const http::HttpRequest &request, const std::string &host,
+                     const core::OrganisationId &organisation)
+{
+    std::uint64_t hash = 0;
+    for (const std::string_view text : {std::string_view(host), std::string_view(request.target),
+                                        std::string_view(organisation.text()), std::string_view(request.body)}) {
+        hash = core::mixBits(hash ^ core::stableHash(text));
+    }
+    constexpr int hexadecimal = 16;
+    std::array<char, 16> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), hash, hexadecimal).ptr;
+    return {digits.data(), end};
+}
+
 } // namespace
 
 core::Result<RequestTerms> requestTerms(const http::HttpRequest &request, const std::string &attemptName,
@@ -23,7 +40,8 @@
         return core::Error{core::ErrorKind::StoreUnavailable, "no configuration has been read yet"};
     }
     RequestTerms terms;
-    terms.route = routes->find(request.headers.find("Host").value_or(std::string()), request.path());
+    const auto host = request.headers.find("Host").value_or(std::string());
+    terms.route = routes->find(host, request.path());
     if (terms.route == nullptr) {
         return core::Error{core::ErrorKind::UnknownRoute, "no route has the host and path"};
     }
@@ -36,6 +54,7 @@
     terms.service = routes->serviceFor(*terms.route, core::stableHash(attemptName));
     terms.tokens = tokenCountsOf(request.headers, names);
     terms.promptParts = sharedPromptPartsOf(request.headers, names);
+    terms.digest = digestOf(request, host, terms.organisation);
     terms.deadline = arrival + terms.route->timeout;
     if (const auto timeLeft = millisecondsIn(request.headers, names.timeLeft)) {
         const auto callerDeadline = arrival + std::max(*timeLeft - answerMargin, answerMargin);
--- a/packages/forwarding/tests/requestlogdiagnosistest.cpp
+++ b/packages/forwarding/tests/requestlogdiagnosistest.cpp
@@ -176,6 +176,27 @@
     EXPECT_TRUE(contains(lineOf(lines, "retryDenied"), "\"promptParts\":\"5c1e 91bd\""));
 }
 
+// Lost attempts of one request that its caller repeated could not be told from those of others.
+TEST(RequestLogDiagnosis, retryLogsADigestThatRepeatsOfTheRequestShare)
+{
+    const auto digestOf = [](const std::string &request) {
+        LogPipe pipe;
+        EntrySimulation simulation(pipe.descriptor());
+        simulation.configure(RouteKind::Idempotent, std::chrono::milliseconds(500));
+        simulation.addBackend([](const std::string &) { return ScriptedResponse{"", true}; });
+        simulation.exchange(request);
+        simulation.log().flush();
+        const auto line = lineOf(pipe.linesOf("77"), "retry");
+        const std::string field = "\"digest\":\"";
+        const auto begin = line.find(field);
+        return begin == std::string::npos ? std::string() : line.substr(begin + field.size(), 16);
+    };
+    const auto digest = digestOf(callerRequest("POST", "release 7"));
+    EXPECT_FALSE(digest.empty());
+    EXPECT_EQ(digestOf(callerRequest("POST", "release 7", "Length-Hint: 3\r\n")), digest);
+    EXPECT_NE(digestOf(callerRequest("POST", "release 8")), digest);
+}
+
 TEST(RequestLogDiagnosis, unknownOutcomeLogsTheBackendAndASingleAttempt)
 {
     LogPipe pipe;
