Failing tests: one request, repeated, ends one backend server after the other

The decisions of the quarantine keep the stricter bound in virtual time already (CrashingPrompts.repeatsOfOneRequestStopWithinTheBound, 1 to 60 entries): they are not told of such requests.

--- a/packages/decisions/tests/quarantine/crashingpromptstest.cpp
+++ b/packages/decisions/tests/quarantine/crashingpromptstest.cpp
@@ -31,6 +31,7 @@
 /// The users' bounds.
 constexpr core::Duration stableWindow = 3s;
 constexpr std::size_t crashesUntilRecognised = 5;
+constexpr std::size_t crashesUntilRepeatIsRecognised = 3;
 constexpr std::size_t requestsSentLater = 3;
 
 struct FleetOptions
@@ -38,7 +39,8 @@
     std::size_t entries = 4;
     core::Duration badInterval = 500ms;
     core::Duration soundInterval = 200ms;
-    /// Sound first parts that requests of both kinds use in turn.
+    /// Sound first parts that requests of both kinds use in turn; 0: the bad requests have nothing in common with
+    /// others.
     int firstParts = 1;
     int lostReportPercent = 0;
     std::uint64_t seed = 1;
@@ -56,10 +58,10 @@
             m_entries.emplace_back(QuarantineSettings(), options.seed * 1000 + entry);
         }
         for (core::Duration at{}; at < playTime; at += options.badInterval) {
-            schedule(start + at, [this] { send(randomEntry(), {firstPart(), PromptPart("bad")}, 2); });
+            schedule(start + at, [this] { send(randomEntry(), partsWith("bad"), 2); });
         }
         for (core::Duration at{}; at < playTime; at += options.soundInterval) {
-            schedule(start + at, [this] { send(randomEntry(), {firstPart(), PromptPart("sound")}, 2); });
+            schedule(start + at, [this] { send(randomEntry(), partsWith("sound"), 2); });
         }
     }
 
@@ -79,12 +81,13 @@
         }
     }
 
-    std::size_t badSentLater() const
+    /// Requests that were sent when `crashes` had long been seen.
+    std::size_t badSentLater(std::size_t crashes = crashesUntilRecognised) const
     {
-        if (m_crashTimes.size() < crashesUntilRecognised) {
+        if (m_crashTimes.size() < crashes) {
             return 0;
         }
-        const auto since = m_crashTimes[crashesUntilRecognised - 1] + stableWindow;
+        const auto since = m_crashTimes[crashes - 1] + stableWindow;
         return static_cast<std::size_t>(
             std::count_if(m_badSent.begin(), m_badSent.end(), [since](auto time) { return time > since; }));
     }
@@ -108,10 +111,13 @@
     }
 
     std::size_t randomEntry() { return m_random.nextBelow(m_entries.size()); }
-    PromptPart firstPart()
+    PromptParts partsWith(const std::string &part)
     {
-        return PromptPart("first"
-                          + std::to_string(m_random.nextBelow(static_cast<std::uint64_t>(m_options.firstParts))));
+        if (m_options.firstParts == 0) {
+            return {PromptPart(part)};
+        }
+        const auto first = m_random.nextBelow(static_cast<std::uint64_t>(m_options.firstParts));
+        return {PromptPart("first" + std::to_string(first)), PromptPart(part)};
     }
 
     struct SentRequest
@@ -250,6 +256,23 @@
     }
 }
 
+// One request that comes again and again has a stricter bound.
+TEST(CrashingPrompts, repeatsOfOneRequestStopWithinTheBound)
+{
+    for (const std::size_t entries : {1U, 4U, 14U, 60U}) {
+        for (const core::Duration interval : {20ms, 500ms, 5000ms}) {
+            FleetOptions options;
+            options.entries = entries;
+            options.firstParts = 0;
+            options.badInterval = interval;
+            Fleet fleet(options);
+            fleet.play();
+            EXPECT_LE(fleet.badSentLater(crashesUntilRepeatIsRecognised), requestsSentLater) << entries << " entries";
+            EXPECT_LE(fleet.soundHeld(), fleet.soundSent() / 20) << entries << " entries";
+        }
+    }
+}
+
 RC_GTEST_PROP(CrashingPromptsFuzz, boundHoldsForAnyFleetWhileReportsAreLost, ())
 {
     FleetOptions options;
--- a/packages/forwarding/tests/crashingrequeststest.cpp
+++ b/packages/forwarding/tests/crashingrequeststest.cpp
@@ -11,8 +11,12 @@
 constexpr int crashesUntilRecognised = 5;
 constexpr int requestsSentLater = 3;
 constexpr int backendCount = 12;
+/// The same for a request that is repeated.
+constexpr int crashesUntilRepeatIsRecognised = 3;
+constexpr int repeatsSentLater = 3;
 
 const std::string crashingPart = "bad";
+const std::string crashingBody = "crash";
 const std::string lastChunk = "0\r\n\r\n";
 
 std::string promptOf(const std::string &sharedParts, int number)
@@ -20,13 +24,13 @@
     return "Parts: " + sharedParts + ",own" + std::to_string(number) + ":250\r\n";
 }
 
-/// An entry whose backend servers end when they begin to answer a request with a certain part in its prompt. Others
-/// take their places.
+/// An entry whose backend servers end when they begin to answer a request with a certain part in its prompt, or with a
+/// certain body. Others take their places.
 struct CrashSimulation
 {
-    CrashSimulation()
+    explicit CrashSimulation(RouteKind kind = RouteKind::Stream) : kind(kind)
     {
-        simulation.configure(RouteKind::Stream);
+        simulation.configure(kind);
         for (int number = 0; number < backendCount; ++number) {
             addBackend();
         }
@@ -40,7 +44,10 @@
 
     ScriptedResponse respond(const std::string &request, int backend)
     {
-        if (request.find(crashingPart + ":") == std::string::npos) {
+        if (request.find(crashingPart + ":") == std::string::npos && !request.ends_with("\r\n" + crashingBody)) {
+            if (kind != RouteKind::Stream) {
+                return {backendAnswer("sound")};
+            }
             return {"HTTP/1.1 200 OK\r\nProof: p\r\nAttempt: 77\r\nTransfer-Encoding: chunked\r\n\r\n"
                     "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n"
                     + lastChunk};
@@ -55,7 +62,12 @@
 
     std::string send(const std::string &sharedParts)
     {
-        auto answer = simulation.exchange(callerRequest("POST", "prompt", promptOf(sharedParts, ++requests)));
+        return exchange(callerRequest("POST", "prompt", promptOf(sharedParts, ++requests)));
+    }
+
+    std::string exchange(const std::string &request)
+    {
+        auto answer = simulation.exchange(request);
         for (const int number : std::exchange(ended, {})) {
             simulation.removeBackend(number);
             addBackend();
@@ -63,6 +75,7 @@
         return answer;
     }
 
+    const RouteKind kind;
     EntrySimulation simulation;
     /// What a backend server sends before it crashes.
     std::string firstBytes;
@@ -133,4 +146,44 @@
     EXPECT_LE(entry.crashes, crashesUntilRecognised + requestsSentLater);
 }
 
+// One request ended one backend server after the other, each time that its caller repeated it.
+TEST(CrashingRequests, repeatsOfOneRequestDoNotEndBackendsOneAfterTheOther)
+{
+    for (const auto kind : {RouteKind::Idempotent, RouteKind::NonIdempotent, RouteKind::Stream}) {
+        CrashSimulation entry(kind);
+        for (int number = 0; number < backendCount; ++number) {
+            // The own part of the prompt need not be the same.
+            entry.exchange(callerRequest("POST", crashingBody, "Parts: own" + std::to_string(number) + ":250\r\n"));
+        }
+        EXPECT_LE(entry.crashes, crashesUntilRepeatIsRecognised + repeatsSentLater);
+    }
+}
+
+// A repeat that is recognised gets its answer at once, with a time to come back, and the answer is true.
+TEST(CrashingRequests, recognisedRepeatIsRefusedAtOnce)
+{
+    CrashSimulation entry(RouteKind::NonIdempotent);
+    std::string answer;
+    for (int number = 0; number < backendCount / 2; ++number) {
+        answer = entry.exchange(callerRequest("POST", crashingBody));
+    }
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+    EXPECT_NE(answer.find("\"ran\":\"no\""), std::string::npos) << answer;
+    EXPECT_LT(entry.crashes, backendCount / 2);
+}
+
+// The same fault hits requests that differ from the repeated one in their body, target or caller.
+TEST(CrashingRequests, otherRequestsThanTheRepeatedOneAreServed)
+{
+    for (const auto kind : {RouteKind::Idempotent, RouteKind::NonIdempotent, RouteKind::Stream}) {
+        CrashSimulation entry(kind);
+        for (int number = 0; number < backendCount; ++number) {
+            entry.exchange(callerRequest("POST", crashingBody));
+            const auto answer = entry.exchange(callerRequest("POST", "sound"));
+            EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+        }
+    }
+}
+
 } // namespace lycheelanding::forwarding
