--- a/packages/core/include/lycheelanding/core/errorkind.h
+++ b/packages/core/include/lycheelanding/core/errorkind.h
@@ -39,7 +39,7 @@
     Cancelled,
     Internal,
     // Numbers are sent between processes of different builds, so new kinds are added at the end.
-    PromptHeld,
+    RequestHeld,
     TurnedAway,
     AnswerMalformed,
 };
--- a/packages/core/src/errorkind.cpp
+++ b/packages/core/src/errorkind.cpp
@@ -37,7 +37,7 @@
     {ErrorKind::PeerUnreachable, "peerUnreachable", 503, Ran::No, true, "The peer cannot be reached"},
     {ErrorKind::Cancelled, "cancelled", 499, Ran::Unknown, false, "The caller cancelled the request"},
     {ErrorKind::Internal, "internal", 500, Ran::Unknown, false, "An internal error occurred"},
-    {ErrorKind::PromptHeld, "promptHeld", 503, Ran::No, true, "Prompts with such a part crash backend servers"},
+    {ErrorKind::RequestHeld, "requestHeld", 503, Ran::No, true, "Such requests crash backend servers"},
     {ErrorKind::TurnedAway, "turnedAway", 503, Ran::No, true, "All backend servers have asked for a pause"},
     {ErrorKind::AnswerMalformed, "answerMalformed", 502, Ran::Unknown, false, "The answer breaks the protocol"},
 }};
--- a/packages/decisions/include/lycheelanding/decisions/quarantine/requestfeatures.h
+++ b/packages/decisions/include/lycheelanding/decisions/quarantine/requestfeatures.h
@@ -6,8 +6,9 @@
 
 namespace lycheelanding::decisions::quarantine {
 
-/// Id of a part of a prompt, such as a system prompt or a document.
-using PromptPart = core::TextId<struct PromptPartTag>;
-using PromptParts = std::vector<PromptPart>;
+/// Something that a request may have in common with others, such as a part of its prompt: a system prompt or a
+/// document.
+using RequestFeature = core::TextId<struct RequestFeatureTag>;
+using RequestFeatures = std::vector<RequestFeature>;
 
 } // namespace lycheelanding::decisions::quarantine
--- a/packages/decisions/src/quarantine/requestquarantine.cpp
+++ b/packages/decisions/src/quarantine/requestquarantine.cpp
@@ -1,4 +1,4 @@
-#include "lycheelanding/decisions/quarantine/promptquarantine.h"
+#include "lycheelanding/decisions/quarantine/requestquarantine.h"
 
 #include "lycheelanding/core/stablehash.h"
 
@@ -8,42 +8,42 @@
 
 namespace {
 
-/// Bounds on the memory of a suspected part. Several backend servers may crash at once under requests that are already
-/// there.
-constexpr std::size_t maxCrashesPerPart = 32;
+/// Bounds on the memory of a suspected feature. Several backend servers may crash at once under requests that are
+/// already there.
+constexpr std::size_t maxCrashesPerFeature = 32;
 constexpr std::size_t maxOthersPerCrash = 8;
 
-bool contains(const PromptParts &parts, const PromptPart &part)
+bool contains(const RequestFeatures &features, const RequestFeature &feature)
 {
-    return std::find(parts.begin(), parts.end(), part) != parts.end();
+    return std::find(features.begin(), features.end(), feature) != features.end();
 }
 
 } // namespace
 
-PromptQuarantine::PromptQuarantine(const QuarantineSettings &settings, std::uint64_t seed)
+RequestQuarantine::RequestQuarantine(const QuarantineSettings &settings, std::uint64_t seed)
     : m_settings(settings), m_seed(seed)
 { }
 
-bool PromptQuarantine::crashed(const CrashReport &report)
+bool RequestQuarantine::crashed(const CrashReport &report)
 {
-    const bool wasHeld = holdTime(report.parts, report.time).has_value();
-    for (const auto &part : report.parts) {
-        const auto cleared = m_clearedAt.find(part);
+    const bool wasHeld = holdTime(report.features, report.time).has_value();
+    for (const auto &feature : report.features) {
+        const auto cleared = m_clearedAt.find(feature);
         if (cleared == m_clearedAt.end() || cleared->second < report.time) {
-            addCrash(part, report);
+            addCrash(feature, report);
         }
     }
-    return !wasHeld && holdTime(report.parts, report.time).has_value();
+    return !wasHeld && holdTime(report.features, report.time).has_value();
 }
 
-void PromptQuarantine::addCrash(const PromptPart &part, const CrashReport &report)
+void RequestQuarantine::addCrash(const RequestFeature &feature, const CrashReport &report)
 {
-    if (!m_suspects.contains(part) && m_suspects.size() >= m_settings.maxSuspects) {
+    if (!m_suspects.contains(feature) && m_suspects.size() >= m_settings.maxSuspects) {
         removeOldest();
     }
-    auto &suspect = m_suspects[part];
+    auto &suspect = m_suspects[feature];
     if (!suspect.crashes.contains(report.backend)) {
-        if (suspect.crashes.size() >= maxCrashesPerPart) {
+        if (suspect.crashes.size() >= maxCrashesPerFeature) {
             suspect.crashes.erase(std::min_element(
                 suspect.crashes.begin(), suspect.crashes.end(),
                 [](const auto &left, const auto &right) { return left.second.time < right.second.time; }));
@@ -52,18 +52,18 @@
         suspect.probeUntil = {};
     }
     auto &crash = suspect.crashes.emplace(report.backend, Crash{report.time, {}}).first->second;
-    for (const auto &other : report.parts) {
+    for (const auto &other : report.features) {
         const auto cleared = m_clearedAt.find(other);
         const bool isCleared = cleared != m_clearedAt.end() && cleared->second >= report.time;
-        if (other != part && !isCleared && crash.others.size() < maxOthersPerCrash) {
+        if (other != feature && !isCleared && crash.others.size() < maxOthersPerCrash) {
             crash.others.insert(other);
         }
     }
 }
 
-PromptParts PromptQuarantine::companionsOf(const Suspect &suspect)
+RequestFeatures RequestQuarantine::companionsOf(const Suspect &suspect)
 {
-    PromptParts companions;
+    RequestFeatures companions;
     for (const auto &other : suspect.crashes.begin()->second.others) {
         const bool isInEach = std::all_of(suspect.crashes.begin(), suspect.crashes.end(),
                                           [&other](const auto &crash) { return crash.second.others.contains(other); });
@@ -74,7 +74,7 @@
     return companions;
 }
 
-void PromptQuarantine::removeOldest()
+void RequestQuarantine::removeOldest()
 {
     const auto oldest = std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto &left, const auto &right) {
         return left.second.lastCrash < right.second.lastCrash;
@@ -82,11 +82,11 @@
     m_suspects.erase(oldest);
 }
 
-bool PromptQuarantine::progressed(const ProgressReport &report)
+bool RequestQuarantine::progressed(const ProgressReport &report)
 {
     bool hasCleared = false;
-    for (const auto &part : report.parts) {
-        const auto known = m_suspects.find(part);
+    for (const auto &feature : report.features) {
+        const auto known = m_suspects.find(feature);
         if (known == m_suspects.end()) {
             continue;
         }
@@ -95,22 +95,22 @@
         if (known->second.crashes.empty()) {
             m_suspects.erase(known);
         }
-        auto &clearedAt = m_clearedAt[part];
+        auto &clearedAt = m_clearedAt[feature];
         clearedAt = std::max(clearedAt, report.time);
         hasCleared = true;
     }
     if (hasCleared) {
-        // The cleared parts do not explain the crashes under the others.
-        for (auto &[part, suspect] : m_suspects) {
+        // The cleared features do not explain the crashes under the others.
+        for (auto &[feature, suspect] : m_suspects) {
             for (auto &[backend, crash] : suspect.crashes) {
-                std::erase_if(crash.others, [&report](const auto &other) { return contains(report.parts, other); });
+                std::erase_if(crash.others, [&report](const auto &other) { return contains(report.features, other); });
             }
         }
     }
     return hasCleared;
 }
 
-std::optional<PromptQuarantine::Hold> PromptQuarantine::holdOf(const Suspect &suspect) const
+std::optional<RequestQuarantine::Hold> RequestQuarantine::holdOf(const Suspect &suspect) const
 {
     if (suspect.crashes.size() < m_settings.minCrashes) {
         return std::nullopt;
@@ -132,7 +132,7 @@
     return hold;
 }
 
-core::TimePoint PromptQuarantine::heldUntil(const PromptPart &part, const Suspect &suspect) const
+core::TimePoint RequestQuarantine::heldUntil(const RequestFeature &feature, const Suspect &suspect) const
 {
     constexpr std::uint64_t thousandths = 1000;
     const auto hold = holdOf(suspect);
@@ -140,26 +140,26 @@
         return {};
     }
     const auto time = m_settings.holds[hold->failedProbes];
-    const auto random = core::mixBits(m_seed ^ core::stableHash(part.text())) % thousandths;
+    const auto random = core::mixBits(m_seed ^ core::stableHash(feature.text())) % thousandths;
     return hold->start + time + time * random / thousandths;
 }
 
-bool PromptQuarantine::hasCompanions(const Suspect &suspect, const PromptParts &parts)
+bool RequestQuarantine::hasCompanions(const Suspect &suspect, const RequestFeatures &features)
 {
     const auto companions = companionsOf(suspect);
     return std::all_of(companions.begin(), companions.end(),
-                       [&parts](const auto &other) { return contains(parts, other); });
+                       [&features](const auto &other) { return contains(features, other); });
 }
 
-std::optional<core::Duration> PromptQuarantine::holdTime(const PromptParts &parts, core::TimePoint now) const
+std::optional<core::Duration> RequestQuarantine::holdTime(const RequestFeatures &features, core::TimePoint now) const
 {
     std::optional<core::Duration> result;
-    for (const auto &part : parts) {
-        const auto known = m_suspects.find(part);
-        if (known == m_suspects.end() || !isHeldPart(known->second) || !hasCompanions(known->second, parts)) {
+    for (const auto &feature : features) {
+        const auto known = m_suspects.find(feature);
+        if (known == m_suspects.end() || !isHeldFeature(known->second) || !hasCompanions(known->second, features)) {
             continue;
         }
-        const auto until = std::max(heldUntil(part, known->second), known->second.probeUntil);
+        const auto until = std::max(heldUntil(feature, known->second), known->second.probeUntil);
         if (now < until) {
             result = std::max(result.value_or(core::Duration::zero()), until - now);
         }
@@ -167,49 +167,49 @@
     return result;
 }
 
-bool PromptQuarantine::sent(const PromptParts &parts, core::TimePoint now)
+bool RequestQuarantine::sent(const RequestFeatures &features, core::TimePoint now)
 {
-    const bool isProbe = std::any_of(parts.begin(), parts.end(), [this, &parts](const auto &part) {
-        const auto known = m_suspects.find(part);
-        return known != m_suspects.end() && isHeldPart(known->second) && hasCompanions(known->second, parts);
+    const bool isProbe = std::any_of(features.begin(), features.end(), [this, &features](const auto &feature) {
+        const auto known = m_suspects.find(feature);
+        return known != m_suspects.end() && isHeldFeature(known->second) && hasCompanions(known->second, features);
     });
     if (isProbe) {
-        probed({parts, now});
+        probed({features, now});
     }
     return isProbe;
 }
 
-void PromptQuarantine::probed(const ProbeReport &report)
+void RequestQuarantine::probed(const ProbeReport &report)
 {
-    for (const auto &part : report.parts) {
-        const auto known = m_suspects.find(part);
-        if (known != m_suspects.end() && isHeldPart(known->second)) {
+    for (const auto &feature : report.features) {
+        const auto known = m_suspects.find(feature);
+        if (known != m_suspects.end() && isHeldFeature(known->second)) {
             known->second.probeUntil = std::max(known->second.probeUntil, report.time + m_settings.probeTimeout);
         }
     }
 }
 
-void PromptQuarantine::tick(core::TimePoint now)
+void RequestQuarantine::tick(core::TimePoint now)
 {
     std::erase_if(m_suspects, [this, now](const auto &item) {
-        const auto &[part, suspect] = item;
-        const auto since = isHeldPart(suspect) ? heldUntil(part, suspect) : suspect.lastCrash;
+        const auto &[feature, suspect] = item;
+        const auto since = isHeldFeature(suspect) ? heldUntil(feature, suspect) : suspect.lastCrash;
         return now - since > m_settings.suspicionTime;
     });
     std::erase_if(m_clearedAt, [this, now](const auto &item) { return now - item.second > m_settings.suspicionTime; });
 }
 
-std::vector<CrashReport> PromptQuarantine::heldReports(core::TimePoint now) const
+std::vector<CrashReport> RequestQuarantine::heldReports(core::TimePoint now) const
 {
     std::vector<CrashReport> reports;
-    for (const auto &[part, suspect] : m_suspects) {
-        if (!isHeldPart(suspect) || now >= heldUntil(part, suspect)) {
+    for (const auto &[feature, suspect] : m_suspects) {
+        if (!isHeldFeature(suspect) || now >= heldUntil(feature, suspect)) {
             continue;
         }
-        PromptParts parts = companionsOf(suspect);
-        parts.push_back(part);
+        RequestFeatures features = companionsOf(suspect);
+        features.push_back(feature);
         for (const auto &[backend, crash] : suspect.crashes) {
-            reports.push_back({backend, parts, crash.time});
+            reports.push_back({backend, features, crash.time});
         }
     }
     return reports;
--- a/packages/decisions/tests/quarantine/crashingpromptstest.cpp
+++ b/packages/decisions/tests/quarantine/crashingpromptstest.cpp
@@ -1,4 +1,4 @@
-#include "lycheelanding/decisions/quarantine/promptquarantine.h"
+#include "lycheelanding/decisions/quarantine/requestquarantine.h"
 
 #include "lycheelanding/core/random.h"
 
@@ -46,8 +46,8 @@
     std::uint64_t seed = 1;
 };
 
-/// Entries that exchange reports, in virtual time. Requests with the bad part crash the backend server that begins to
-/// answer them, and all requests there that have no answer yet are lost with it; each is retried once. The backend
+/// Entries that exchange reports, in virtual time. Requests with the bad feature crash the backend server that begins
+/// to answer them, and all requests there that have no answer yet are lost with it; each is retried once. The backend
 /// server is back at once, as a new incarnation.
 class Fleet
 {
@@ -111,42 +111,42 @@
     }
 
     std::size_t randomEntry() { return m_random.nextBelow(m_entries.size()); }
-    PromptParts partsWith(const std::string &part)
+    RequestFeatures partsWith(const std::string &feature)
     {
         if (m_options.firstParts == 0) {
-            return {PromptPart(part)};
+            return {RequestFeature(feature)};
         }
         const auto first = m_random.nextBelow(static_cast<std::uint64_t>(m_options.firstParts));
-        return {PromptPart("first" + std::to_string(first)), PromptPart(part)};
+        return {RequestFeature("first" + std::to_string(first)), RequestFeature(feature)};
     }
 
     struct SentRequest
     {
         std::size_t entry = 0;
-        PromptParts parts;
+        RequestFeatures features;
         int attemptsLeft = 0;
         bool isLost = false;
     };
 
-    static bool isBad(const PromptParts &parts) { return parts.back() == PromptPart("bad"); }
+    static bool isBad(const RequestFeatures &features) { return features.back() == RequestFeature("bad"); }
 
-    void send(std::size_t entry, const PromptParts &parts, int attemptsLeft)
+    void send(std::size_t entry, const RequestFeatures &features, int attemptsLeft)
     {
-        if (m_entries[entry].holdTime(parts, m_now)) {
-            m_soundHeld += isBad(parts) ? 0 : 1;
+        if (m_entries[entry].holdTime(features, m_now)) {
+            m_soundHeld += isBad(features) ? 0 : 1;
             return;
         }
-        if (m_entries[entry].sent(parts, m_now)) {
-            const ProbeReport report{parts, m_now};
+        if (m_entries[entry].sent(features, m_now)) {
+            const ProbeReport report{features, m_now};
             share(entry, [report](auto &other) { other.probed(report); });
         }
-        if (isBad(parts)) {
+        if (isBad(features)) {
             m_badSent.push_back(m_now);
         } else {
             ++m_soundSent;
         }
         const auto backend = m_random.nextBelow(backendCount);
-        const auto request = std::make_shared<SentRequest>(SentRequest{entry, parts, attemptsLeft});
+        const auto request = std::make_shared<SentRequest>(SentRequest{entry, features, attemptsLeft});
         m_waiting[backend].push_back(request);
         schedule(m_now + timeToFirstToken, [this, backend, request] { begin(backend, request); });
     }
@@ -156,12 +156,12 @@
         if (request->isLost) {
             return;
         }
-        if (isBad(request->parts)) {
+        if (isBad(request->features)) {
             crash(backend);
             return;
         }
         std::erase(m_waiting[backend], request);
-        const ProgressReport report{request->parts, m_now};
+        const ProgressReport report{request->features, m_now};
         if (m_entries[request->entry].progressed(report)) {
             share(request->entry, [report](auto &other) { other.progressed(report); });
         }
@@ -173,12 +173,12 @@
         m_crashTimes.push_back(m_now);
         for (const auto &request : std::exchange(m_waiting[backend], {})) {
             request->isLost = true;
-            const CrashReport report{incarnation, request->parts, m_now};
+            const CrashReport report{incarnation, request->features, m_now};
             m_entries[request->entry].crashed(report);
             share(request->entry, [report](auto &other) { other.crashed(report); });
             if (request->attemptsLeft > 1) {
                 schedule(m_now + retryDelay,
-                         [this, request] { send(request->entry, request->parts, request->attemptsLeft - 1); });
+                         [this, request] { send(request->entry, request->features, request->attemptsLeft - 1); });
             }
         }
     }
@@ -217,7 +217,7 @@
 
     const FleetOptions m_options;
     core::RandomSequence m_random;
-    std::vector<PromptQuarantine> m_entries;
+    std::vector<RequestQuarantine> m_entries;
     std::priority_queue<Event> m_events;
     std::size_t m_eventCount = 0;
     core::TimePoint m_now;
@@ -252,7 +252,7 @@
         Fleet fleet(options);
         fleet.play();
         EXPECT_LE(fleet.badSentLater(), requestsSentLater);
-        EXPECT_LE(fleet.soundHeld(), fleet.soundSent() / 20) << firstParts << " first parts";
+        EXPECT_LE(fleet.soundHeld(), fleet.soundSent() / 20) << firstParts << " first features";
     }
 }
 
--- a/packages/decisions/tests/quarantine/requestquarantinetest.cpp
+++ b/packages/decisions/tests/quarantine/requestquarantinetest.cpp
@@ -1,4 +1,4 @@
-#include "lycheelanding/decisions/quarantine/promptquarantine.h"
+#include "lycheelanding/decisions/quarantine/requestquarantine.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -12,23 +12,23 @@
 using namespace std::chrono_literals;
 
 constexpr core::TimePoint start(1h);
-const PromptPart common("common");
-const PromptPart bad("bad");
-const PromptPart other("other");
+const RequestFeature common("common");
+const RequestFeature bad("bad");
+const RequestFeature other("other");
 
-CrashReport crash(const std::string &backend, PromptParts parts, core::TimePoint time)
+CrashReport crash(const std::string &backend, RequestFeatures features, core::TimePoint time)
 {
-    return {backend, std::move(parts), time};
+    return {backend, std::move(features), time};
 }
 
-bool isHeld(const PromptQuarantine &quarantine, const PromptParts &parts, core::TimePoint now)
+bool isHeld(const RequestQuarantine &quarantine, const RequestFeatures &features, core::TimePoint now)
 {
-    return quarantine.holdTime(parts, now).has_value();
+    return quarantine.holdTime(features, now).has_value();
 }
 
-PromptQuarantine crashedTwice()
+RequestQuarantine crashedTwice()
 {
-    PromptQuarantine quarantine(QuarantineSettings(), 7);
+    RequestQuarantine quarantine(QuarantineSettings(), 7);
     EXPECT_FALSE(quarantine.crashed(crash("b1", {common, bad}, start)));
     EXPECT_TRUE(quarantine.crashed(crash("b2", {common, bad}, start + 300ms)));
     return quarantine;
@@ -36,7 +36,7 @@
 
 } // namespace
 
-TEST(PromptQuarantine, secondCrashUnderTheSamePartsHoldsThem)
+TEST(RequestQuarantine, secondCrashUnderTheSamePartsHoldsThem)
 {
     const auto quarantine = crashedTwice();
     EXPECT_TRUE(isHeld(quarantine, {common, bad}, start + 300ms));
@@ -44,48 +44,48 @@
     EXPECT_FALSE(isHeld(quarantine, {other}, start + 300ms));
 }
 
-TEST(PromptQuarantine, oneBackendServerThatEndsUnderManyRequestsIsOneCrash)
+TEST(RequestQuarantine, oneBackendServerThatEndsUnderManyRequestsIsOneCrash)
 {
-    PromptQuarantine quarantine(QuarantineSettings(), 7);
-    for (const auto *part : {"a", "b", "c"}) {
-        quarantine.crashed(crash("b1", {common, PromptPart(part)}, start));
+    RequestQuarantine quarantine(QuarantineSettings(), 7);
+    for (const auto *feature : {"a", "b", "c"}) {
+        quarantine.crashed(crash("b1", {common, RequestFeature(feature)}, start));
     }
     quarantine.crashed(crash("b1", {common, bad}, start + 5ms));
     EXPECT_FALSE(isHeld(quarantine, {common, bad}, start + 10ms));
 }
 
-TEST(PromptQuarantine, partThatCrashesWithOtherCompanionsIsHeldWithoutThem)
+TEST(RequestQuarantine, partThatCrashesWithOtherCompanionsIsHeldWithoutThem)
 {
     auto quarantine = crashedTwice();
     EXPECT_FALSE(isHeld(quarantine, {other, bad}, start + 400ms));
     quarantine.crashed(crash("b3", {other, bad}, start + 500ms));
     EXPECT_TRUE(isHeld(quarantine, {bad}, start + 500ms));
-    EXPECT_TRUE(isHeld(quarantine, {PromptPart("third"), bad}, start + 500ms));
+    EXPECT_TRUE(isHeld(quarantine, {RequestFeature("third"), bad}, start + 500ms));
 }
 
-// Sound requests that wait at the same backend servers share the first part of the prompt, but not the crashing one.
-TEST(PromptQuarantine, soundRequestsOfTheSameCrashesAreNotHeld)
+// Sound requests that wait at the same backend servers share the first feature of the prompt, but not the crashing one.
+TEST(RequestQuarantine, soundRequestsOfTheSameCrashesAreNotHeld)
 {
-    PromptQuarantine quarantine(QuarantineSettings(), 7);
+    RequestQuarantine quarantine(QuarantineSettings(), 7);
     for (const auto *backend : {"b1", "b2"}) {
         quarantine.crashed(crash(backend, {common, other}, start));
-        quarantine.crashed(crash(backend, {common, PromptPart(backend)}, start));
+        quarantine.crashed(crash(backend, {common, RequestFeature(backend)}, start));
         quarantine.crashed(crash(backend, {common, bad}, start));
     }
     EXPECT_TRUE(isHeld(quarantine, {common, bad}, start));
-    EXPECT_FALSE(isHeld(quarantine, {common, PromptPart("third")}, start));
+    EXPECT_FALSE(isHeld(quarantine, {common, RequestFeature("third")}, start));
 }
 
-TEST(PromptQuarantine, progressOfASoundRequestClearsTheCommonPart)
+TEST(RequestQuarantine, progressOfASoundRequestClearsTheCommonPart)
 {
     auto quarantine = crashedTwice();
     EXPECT_TRUE(quarantine.progressed({{common, other}, start + 400ms}));
     EXPECT_FALSE(isHeld(quarantine, {common}, start + 400ms));
-    // The common part no longer explains the crashes, so that the other one is held alone.
+    // The common feature no longer explains the crashes, so that the other one is held alone.
     EXPECT_TRUE(isHeld(quarantine, {bad}, start + 400ms));
 }
 
-TEST(PromptQuarantine, reportOfACrashBeforeTheProgressChangesNothing)
+TEST(RequestQuarantine, reportOfACrashBeforeTheProgressChangesNothing)
 {
     auto quarantine = crashedTwice();
     quarantine.progressed({{common, bad}, start + 1s});
@@ -95,8 +95,8 @@
     EXPECT_TRUE(quarantine.isEmpty());
 }
 
-// A sound part that was held by chance is used again after one request of each entry has shown it.
-TEST(PromptQuarantine, oneProbeAtATimeDecidesWhetherAPartIsHeldOn)
+// A sound feature that was held by chance is used again after one request of each entry has shown it.
+TEST(RequestQuarantine, oneProbeAtATimeDecidesWhetherAPartIsHeldOn)
 {
     const QuarantineSettings settings;
     auto quarantine = crashedTwice();
@@ -113,7 +113,7 @@
     EXPECT_FALSE(isHeld(quarantine, {common, bad}, probeTime + 201ms));
 }
 
-TEST(PromptQuarantine, probeOfAnotherEntryHoldsTheRequestsOfThisOne)
+TEST(RequestQuarantine, probeOfAnotherEntryHoldsTheRequestsOfThisOne)
 {
     const QuarantineSettings settings;
     auto quarantine = crashedTwice();
@@ -123,8 +123,8 @@
     EXPECT_FALSE(isHeld(quarantine, {common, bad}, probeTime + settings.probeTimeout));
 }
 
-// Requests that are already at other backend servers crash them while the part is held: no probe has failed.
-TEST(PromptQuarantine, crashesDuringAHoldDoNotProlongIt)
+// Requests that are already at other backend servers crash them while the feature is held: no probe has failed.
+TEST(RequestQuarantine, crashesDuringAHoldDoNotProlongIt)
 {
     const QuarantineSettings settings;
     auto quarantine = crashedTwice();
@@ -134,10 +134,10 @@
     EXPECT_FALSE(isHeld(quarantine, {common, bad}, start + 300ms + 2 * settings.holds[0]));
 }
 
-TEST(PromptQuarantine, reportsOfHeldPartsMakeAnotherEntryHoldThem)
+TEST(RequestQuarantine, reportsOfHeldPartsMakeAnotherEntryHoldThem)
 {
     const auto quarantine = crashedTwice();
-    PromptQuarantine another(QuarantineSettings(), 8);
+    RequestQuarantine another(QuarantineSettings(), 8);
     for (const auto &report : quarantine.heldReports(start + 1s)) {
         another.crashed(report);
     }
@@ -145,12 +145,12 @@
     EXPECT_FALSE(isHeld(another, {common, other}, start + 1s));
 }
 
-TEST(PromptQuarantine, memoryIsBoundedAndOldSuspicionsAreForgotten)
+TEST(RequestQuarantine, memoryIsBoundedAndOldSuspicionsAreForgotten)
 {
     const QuarantineSettings settings;
-    PromptQuarantine quarantine(settings, 7);
+    RequestQuarantine quarantine(settings, 7);
     for (std::size_t number = 0; number < 2 * settings.maxSuspects; ++number) {
-        quarantine.crashed(crash("b" + std::to_string(number), {PromptPart("p" + std::to_string(number))}, start));
+        quarantine.crashed(crash("b" + std::to_string(number), {RequestFeature("p" + std::to_string(number))}, start));
     }
     EXPECT_FALSE(quarantine.isEmpty());
     quarantine.tick(start + settings.suspicionTime + 1ms);
@@ -158,23 +158,23 @@
 }
 
 /// Reports reach entries in different orders and several times; what they hold is the same.
-RC_GTEST_PROP(PromptQuarantineFuzz, orderAndRepetitionOfCrashReportsDoNotMatter, ())
+RC_GTEST_PROP(RequestQuarantineFuzz, orderAndRepetitionOfCrashReportsDoNotMatter, ())
 {
     const auto randomPart
-        = rc::gen::map(rc::gen::inRange(0, 4), [](int number) { return PromptPart("p" + std::to_string(number)); });
+        = rc::gen::map(rc::gen::inRange(0, 4), [](int number) { return RequestFeature("p" + std::to_string(number)); });
     const int count = *rc::gen::inRange(1, 8);
     std::vector<CrashReport> reports;
     for (int number = 0; number < count; ++number) {
-        auto parts = *rc::gen::container<PromptParts>(2, randomPart);
-        reports.push_back(crash("b" + std::to_string(*rc::gen::inRange(0, 5)), std::move(parts), start));
+        auto features = *rc::gen::container<RequestFeatures>(2, randomPart);
+        reports.push_back(crash("b" + std::to_string(*rc::gen::inRange(0, 5)), std::move(features), start));
     }
     auto shuffled = reports;
     shuffled.insert(shuffled.end(), reports.begin(), reports.end());
     for (std::size_t index = shuffled.size(); index > 1; --index) {
         std::swap(shuffled[index - 1], shuffled[*rc::gen::inRange<std::size_t>(0, index)]);
     }
-    PromptQuarantine left(QuarantineSettings(), 7);
-    PromptQuarantine right(QuarantineSettings(), 7);
+    RequestQuarantine left(QuarantineSettings(), 7);
+    RequestQuarantine right(QuarantineSettings(), 7);
     for (const auto &report : reports) {
         left.crashed(report);
     }
@@ -183,8 +183,9 @@
     }
     for (int first = 0; first < 4; ++first) {
         for (int second = first; second < 4; ++second) {
-            const PromptParts parts{PromptPart("p" + std::to_string(first)), PromptPart("p" + std::to_string(second))};
-            RC_ASSERT(left.holdTime(parts, start) == right.holdTime(parts, start));
+            const RequestFeatures features{RequestFeature("p" + std::to_string(first)),
+                                           RequestFeature("p" + std::to_string(second))};
+            RC_ASSERT(left.holdTime(features, start) == right.holdTime(features, start));
         }
     }
 }
--- a/packages/forwarding/include/lycheelanding/forwarding/crashdetector.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/crashdetector.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lycheelanding/decisions/quarantine/promptparts.h"
+#include "lycheelanding/decisions/quarantine/requestfeatures.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -19,7 +19,7 @@
     /// Incarnation of the backend server.
     std::string backend;
     asio::ip::tcp::endpoint endpoint;
-    decisions::quarantine::PromptParts promptParts;
+    decisions::quarantine::RequestFeatures features;
 };
 
 /// Finds out whether a backend server that has lost a connection has crashed: it then refuses a new one. A backend
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -58,7 +58,7 @@
     decisions::intake::BackendIntake &intake() { return m_backends.intake(); }
     const RouteTablePointer &routes() const { return m_routes; }
     report::Metrics &metrics() { return m_metrics; }
-    PromptGuard &prompts() { return m_prompts; }
+    RequestGuard &requestGuard() { return m_requestGuard; }
     IntakeTracker &intakeTracker() { return m_intakeTracker; }
     /// Sets the handler that is called when a backend server has said in an answer that it leaves.
     void setLeavingHandler(std::function<void(const BackendId &)> handler) { m_onLeaving = std::move(handler); }
@@ -86,7 +86,7 @@
     AttemptId m_lastAttempt;
     std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> m_resumableStreams;
     IntakeTracker m_intakeTracker;
-    PromptGuard m_prompts;
+    RequestGuard m_requestGuard;
     std::function<void(const BackendId &)> m_onLeaving;
     const std::function<void(const BackendId &)> m_backendLeaves;
     RouteTablePointer m_routes;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedfields.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedfields.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lycheelanding/core/ids.h"
-#include "lycheelanding/decisions/quarantine/promptparts.h"
+#include "lycheelanding/decisions/quarantine/requestfeatures.h"
 #include "lycheelanding/forwarding/fieldnames.h"
 #include "lycheelanding/http/httpmessages.h"
 
@@ -40,10 +40,10 @@
 TokenCounts tokenCountsOf(const http::HttpHeaders &headers, const FieldNames &names);
 
 /// The ids, separated by spaces.
-std::string joinedText(const decisions::quarantine::PromptParts &parts);
+std::string joinedText(const decisions::quarantine::RequestFeatures &parts);
 
 /// The parts of the prompt that other requests may share, that is all but the last; empty without the field. Parts
 /// beyond a limit and those with an empty or overlong id are left out.
-decisions::quarantine::PromptParts sharedPromptPartsOf(const http::HttpHeaders &headers, const FieldNames &names);
+decisions::quarantine::RequestFeatures sharedPromptPartsOf(const http::HttpHeaders &headers, const FieldNames &names);
 
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardingresources.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardingresources.h
@@ -4,7 +4,7 @@
 #include "lycheelanding/forwarding/eventlog.h"
 #include "lycheelanding/forwarding/fieldnames.h"
 #include "lycheelanding/forwarding/intaketracker.h"
-#include "lycheelanding/forwarding/promptguard.h"
+#include "lycheelanding/forwarding/requestguard.h"
 #include "lycheelanding/forwarding/retrybudgets.h"
 #include "lycheelanding/forwarding/waitingrequests.h"
 #include "lycheelanding/http/connectionpool.h"
@@ -33,7 +33,7 @@
     WaitingRequests<ForwardedExchange> &waiting;
     /// Id of the last attempt of the process; each attempt increments it.
     AttemptId &lastAttempt;
-    PromptGuard &prompts;
+    RequestGuard &requestGuard;
     IntakeTracker &intakeTracker;
     /// Called when a backend server has said in an answer that it leaves.
     const std::function<void(const BackendId &)> &onLeaving;
--- a/packages/forwarding/include/lycheelanding/forwarding/requestguard.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestguard.h
@@ -2,7 +2,7 @@
 
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/core/result.h"
-#include "lycheelanding/decisions/quarantine/promptquarantine.h"
+#include "lycheelanding/decisions/quarantine/requestquarantine.h"
 #include "lycheelanding/forwarding/crashdetector.h"
 #include "lycheelanding/forwarding/eventlog.h"
 #include "lycheelanding/report/metrics.h"
@@ -14,30 +14,30 @@
 namespace lycheelanding::forwarding {
 
 /// Called with what this entry has found out, to pass it on to the other entries.
-struct PromptReportHandlers
+struct QuarantineReportHandlers
 {
     std::function<void(const decisions::quarantine::CrashReport &)> onCrash;
     std::function<void(const decisions::quarantine::ProgressReport &)> onProgress;
     std::function<void(const decisions::quarantine::ProbeReport &)> onProbe;
 };
 
-/// Holds requests whose prompts crash backend servers: feeds the quarantine with lost attempts and progress of this
+/// Holds requests that crash backend servers: feeds the quarantine with lost attempts and progress of this
 /// entry and with the reports of others. Used on one thread.
-class PromptGuard
+class RequestGuard
 {
 public:
     /// `onHeld` is called when more requests are held than before.
-    PromptGuard(asio::io_context &context, std::uint64_t seed, EventLog &log, report::Metrics &metrics,
-                std::function<void()> onHeld);
+    RequestGuard(asio::io_context &context, std::uint64_t seed, EventLog &log, report::Metrics &metrics,
+                 std::function<void()> onHeld);
 
-    void setReportHandlers(PromptReportHandlers handlers) { m_handlers = std::move(handlers); }
+    void setReportHandlers(QuarantineReportHandlers handlers) { m_handlers = std::move(handlers); }
 
     /// How long a request is held; nullopt if it may be sent now.
-    std::optional<core::Duration> holdTime(const decisions::quarantine::PromptParts &parts) const;
+    std::optional<core::Duration> holdTime(const decisions::quarantine::RequestFeatures &features) const;
     /// The error of a request that is held, with its hold time; nullopt if it may be sent now.
-    std::optional<core::Error> holdError(const decisions::quarantine::PromptParts &parts) const;
-    void requestSent(const decisions::quarantine::PromptParts &parts);
-    void answerProgressed(const decisions::quarantine::PromptParts &parts);
+    std::optional<core::Error> holdError(const decisions::quarantine::RequestFeatures &features) const;
+    void requestSent(const decisions::quarantine::RequestFeatures &features);
+    void answerProgressed(const decisions::quarantine::RequestFeatures &features);
     void attemptLost(const LostAttempt &attempt);
 
     /// Applies a report of another entry.
@@ -54,8 +54,8 @@
     EventLog &m_log;
     report::Metrics &m_metrics;
     const std::function<void()> m_onHeld;
-    PromptReportHandlers m_handlers;
-    decisions::quarantine::PromptQuarantine m_quarantine;
+    QuarantineReportHandlers m_handlers;
+    decisions::quarantine::RequestQuarantine m_quarantine;
     CrashDetector m_crashes;
 };
 
--- a/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
@@ -53,8 +53,8 @@
 enum class RetryDenial : std::uint8_t {
     /// The route allows no more attempts.
     AttemptsUsed,
-    /// Prompts with the same part crash backend servers.
-    PromptHeld,
+    /// Requests with the same feature crash backend servers.
+    RequestHeld,
     /// The answer has begun and cannot be resumed.
     NotResumable,
     /// The retry policy refuses: the budget is spent, or the time or the kind of error does not allow it.
--- a/packages/forwarding/include/lycheelanding/forwarding/requestterms.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestterms.h
@@ -20,7 +20,7 @@
     core::ServiceId service;
     core::OrganisationId organisation;
     TokenCounts tokens;
-    decisions::quarantine::PromptParts promptParts;
+    decisions::quarantine::RequestFeatures promptParts;
     /// Digest of what repeats of the request have in common: host, target, organisation and body.
     std::string digest;
     core::TimePoint deadline;
--- a/packages/forwarding/src/backendattempt.cpp
+++ b/packages/forwarding/src/backendattempt.cpp
@@ -62,15 +62,15 @@
     }
 }
 
-void BackendAttempt::recordProgress(std::size_t parts, const decisions::quarantine::PromptParts &promptParts)
+void BackendAttempt::recordProgress(std::size_t parts, const decisions::quarantine::RequestFeatures &promptParts)
 {
     if (!m_hasProgressed && parts >= minPartsOfProgress) {
         m_hasProgressed = true;
-        m_resources.prompts.answerProgressed(promptParts);
+        m_resources.requestGuard.answerProgressed(promptParts);
     }
 }
 
-void BackendAttempt::reportCrashSuspicion(const decisions::quarantine::PromptParts &promptParts)
+void BackendAttempt::reportCrashSuspicion(const decisions::quarantine::RequestFeatures &promptParts)
 {
     const auto registered = m_resources.backends.find(backend());
     if (!registered || m_hasProgressed) {
@@ -78,7 +78,7 @@
     }
     // A backend server may start again under its id.
     const auto incarnation = registered->id.text() + "@" + std::to_string(registered->startedAtMs);
-    m_resources.prompts.attemptLost({incarnation, m_reserved.backend.endpoint, promptParts});
+    m_resources.requestGuard.attemptLost({incarnation, m_reserved.backend.endpoint, promptParts});
 }
 
 void BackendAttempt::releaseConnection()
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -38,8 +38,8 @@
     : m_context(context), m_settings(std::move(settings)), m_log(log),
       m_backends(m_settings.dataCentre, core::stableHash(m_settings.processName)),
       m_retries(m_settings.retryBudget, core::stableHash(m_settings.processName)), m_pool(idleConnectionTimeout),
-      m_intakeTracker(m_backends, m_log, m_metrics),
-      m_prompts(context, core::stableHash(m_settings.processName), m_log, m_metrics, [this] { cancelHeldAttempts(); }),
+      m_intakeTracker(m_backends, m_log, m_metrics), m_requestGuard(context, core::stableHash(m_settings.processName),
+                                                                    m_log, m_metrics, [this] { cancelHeldAttempts(); }),
       m_backendLeaves([this](const BackendId &id) { backendLeaves(id); }), m_earlyTimer(context),
       m_drain(m_settings.drain), m_drainTimer(context),
       m_callerServer(context, serverSettings(m_settings.callerEndpoint, m_settings.maxConnections),
@@ -169,9 +169,10 @@
 
 void EntryServer::forward(const http::HttpExchangePointer &exchange)
 {
-    const ForwardingResources resources{m_context,       m_settings.names, m_backends,        m_retries,     m_pool,
-                                        m_log,           m_metrics,        m_waiting,         m_lastAttempt, m_prompts,
-                                        m_intakeTracker, m_backendLeaves,  m_resumableStreams};
+    const ForwardingResources resources{
+        m_context,       m_settings.names, m_backends,        m_retries,     m_pool,
+        m_log,           m_metrics,        m_waiting,         m_lastAttempt, m_requestGuard,
+        m_intakeTracker, m_backendLeaves,  m_resumableStreams};
     const auto onFinished = [this] {
         execute(m_drain.requestFinished(m_clock.now()));
         sendWaitingRequests();
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -86,7 +86,7 @@
 
 bool ForwardedExchange::giveUpUnservable()
 {
-    const auto held = m_resources.prompts.holdError(m_terms.promptParts);
+    const auto held = m_resources.requestGuard.holdError(m_terms.promptParts);
     const auto error
         = held ? held : m_resources.backends.turnAwayError(m_terms.service, m_limits, m_attemptName, now());
     if (error) {
@@ -142,7 +142,7 @@
     m_log.recordSent(m_attempt->startedAt());
     m_answer.restart();
     m_tried.push_back(m_attempt->backend());
-    m_resources.prompts.requestSent(m_terms.promptParts);
+    m_resources.requestGuard.requestSent(m_terms.promptParts);
     if (m_attempt->takeIdleConnection()) {
         execute(m_attempts->readyToSend(m_attempt->number()));
         return;
@@ -280,7 +280,7 @@
 void ForwardedExchange::finishAnswer()
 {
     const int status = m_attempt->head().status;
-    m_resources.prompts.answerProgressed(m_terms.promptParts);
+    m_resources.requestGuard.answerProgressed(m_terms.promptParts);
     m_answer.finish(m_attempt->head());
     const auto attempt = m_attempt->number();
     endAttempt(Outcome::Answered);
@@ -307,7 +307,7 @@
     if (!m_attempt || m_attempt->bodyParts() > 0) {
         return;
     }
-    if (const auto error = m_resources.prompts.holdError(m_terms.promptParts)) {
+    if (const auto error = m_resources.requestGuard.holdError(m_terms.promptParts)) {
         const auto attempt = m_attempt->number();
         endAttempt(Outcome::Cancelled);
         execute(m_attempts->lost(attempt, *error, now()));
@@ -382,8 +382,8 @@
     if (m_tried.size() >= m_terms.route->maxAttempts) {
         return RetryDenial::AttemptsUsed;
     }
-    if (m_resources.prompts.holdError(m_terms.promptParts)) {
-        return RetryDenial::PromptHeld;
+    if (m_resources.requestGuard.holdError(m_terms.promptParts)) {
+        return RetryDenial::RequestHeld;
     }
     const bool canResume = !m_answer.hasBegun() || m_answer.lastEvent();
     return canResume ? std::nullopt : std::optional(RetryDenial::NotResumable);
--- a/packages/forwarding/src/forwardedfields.cpp
+++ b/packages/forwarding/src/forwardedfields.cpp
@@ -82,7 +82,7 @@
     return counts;
 }
 
-std::string joinedText(const decisions::quarantine::PromptParts &parts)
+std::string joinedText(const decisions::quarantine::RequestFeatures &parts)
 {
     std::string text;
     for (const auto &part : parts) {
@@ -91,9 +91,9 @@
     return text;
 }
 
-decisions::quarantine::PromptParts sharedPromptPartsOf(const http::HttpHeaders &headers, const FieldNames &names)
+decisions::quarantine::RequestFeatures sharedPromptPartsOf(const http::HttpHeaders &headers, const FieldNames &names)
 {
-    decisions::quarantine::PromptParts parts;
+    decisions::quarantine::RequestFeatures parts;
     const auto text = headers.find(names.promptParts);
     std::string_view rest = text ? std::string_view(*text) : std::string_view();
     for (auto comma = rest.find(','); comma != std::string_view::npos && parts.size() < maxPromptParts;
--- a/packages/forwarding/src/refusal.cpp
+++ b/packages/forwarding/src/refusal.cpp
@@ -70,7 +70,7 @@
 {
     core::Error result = error;
     // Requests of these kinds are refused until then, however little time the caller has left.
-    const bool isFixed = error.kind == core::ErrorKind::PromptHeld || error.kind == core::ErrorKind::TurnedAway;
+    const bool isFixed = error.kind == core::ErrorKind::RequestHeld || error.kind == core::ErrorKind::TurnedAway;
     if (isFixed && error.retryAfter) {
         return result;
     }
--- a/packages/forwarding/src/requestlog.cpp
+++ b/packages/forwarding/src/requestlog.cpp
@@ -17,7 +17,7 @@
 
 constexpr std::array<core::NameEntry<RetryDenial>, 4> retryDenialNames{{
     {RetryDenial::AttemptsUsed, "attemptsUsed"},
-    {RetryDenial::PromptHeld, "promptHeld"},
+    {RetryDenial::RequestHeld, "requestHeld"},
     {RetryDenial::NotResumable, "notResumable"},
     {RetryDenial::Policy, "policy"},
 }};
--- a/packages/forwarding/tests/refusaltest.cpp
+++ b/packages/forwarding/tests/refusaltest.cpp
@@ -46,7 +46,7 @@
 
 TEST(RefusalTest, retryDelayOfAHeldPromptIsTheTimeOfItsHold)
 {
-    core::Error error{core::ErrorKind::PromptHeld, "held"};
+    core::Error error{core::ErrorKind::RequestHeld, "held"};
     error.retryAfter = 10min;
     EXPECT_EQ(withRetryAfter(error, 8s).retryAfter, 10min);
     EXPECT_EQ(refusalResponse(error).headers.find("Retry-After"), "600.000");
--- a/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/rankdatagrams.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lycheelanding/decisions/intake/demandshares.h"
-#include "lycheelanding/decisions/quarantine/promptparts.h"
+#include "lycheelanding/decisions/quarantine/requestfeatures.h"
 #include "lycheelanding/rankgroups/countscollector.h"
 #include "lycheelanding/rankgroups/rankreport.h"
 
@@ -58,26 +58,26 @@
 };
 
 /// From an entry to some sides, which relay it to the other entries: a backend server crashed while it held a request
-/// with these parts in its prompt.
+/// with these features.
 struct CrashNotice
 {
     /// One incarnation of a backend server.
     std::string backend;
-    decisions::quarantine::PromptParts parts;
+    decisions::quarantine::RequestFeatures features;
     std::uint32_t ageMs = 0;
 };
 
-/// The same way: a request with these parts in its prompt has been answered in part without a crash.
+/// The same way: a request with these features has been answered in part without a crash.
 struct ProgressNotice
 {
-    decisions::quarantine::PromptParts parts;
+    decisions::quarantine::RequestFeatures features;
     std::uint32_t ageMs = 0;
 };
 
-/// The same way: a request with these parts in its prompt was sent to find out whether they crash backend servers.
+/// The same way: a request with these features was sent to find out whether they crash backend servers.
 struct ProbeNotice
 {
-    decisions::quarantine::PromptParts parts;
+    decisions::quarantine::RequestFeatures features;
     std::uint32_t ageMs = 0;
 };
 
--- a/packages/rankgroups/src/rankdatagrams.cpp
+++ b/packages/rankgroups/src/rankdatagrams.cpp
@@ -46,7 +46,7 @@
 /// Must be increased with each change of the message layout; messages of other versions are dropped.
 constexpr std::uint16_t protocolVersion = 6;
 /// Guards against foreign bytes.
-constexpr std::size_t maxPromptParts = 32;
+constexpr std::size_t maxFeatures = 32;
 constexpr std::size_t maxDemands = 16;
 
 /// Appends the bytes with their length in front.
@@ -246,40 +246,40 @@
 }
 
 template <typename Archive>
-void savePromptParts(Archive &archive, const decisions::quarantine::PromptParts &parts)
+void saveFeatures(Archive &archive, const decisions::quarantine::RequestFeatures &features)
 {
-    archive(static_cast<std::uint8_t>(std::min(parts.size(), maxPromptParts)));
-    for (std::size_t index = 0; index < std::min(parts.size(), maxPromptParts); ++index) {
-        saveBytes(archive, parts[index].text());
+    archive(static_cast<std::uint8_t>(std::min(features.size(), maxFeatures)));
+    for (std::size_t index = 0; index < std::min(features.size(), maxFeatures); ++index) {
+        saveBytes(archive, features[index].text());
     }
 }
 
 template <typename Archive>
-decisions::quarantine::PromptParts loadPromptParts(Archive &archive)
+decisions::quarantine::RequestFeatures loadFeatures(Archive &archive)
 {
     std::uint8_t count = 0;
     archive(count);
-    if (count > maxPromptParts) {
-        throw cereal::Exception("too many parts of a prompt");
+    if (count > maxFeatures) {
+        throw cereal::Exception("too many features of a request");
     }
-    decisions::quarantine::PromptParts parts;
+    decisions::quarantine::RequestFeatures features;
     for (std::uint8_t index = 0; index < count; ++index) {
-        parts.emplace_back(loadBytes(archive));
+        features.emplace_back(loadBytes(archive));
     }
-    return parts;
+    return features;
 }
 
 template <typename Archive, typename Notice>
 void saveNotice(Archive &archive, const Notice &notice)
 {
-    savePromptParts(archive, notice.parts);
+    saveFeatures(archive, notice.features);
     archive(notice.ageMs);
 }
 
 template <typename Archive, typename Notice>
 void loadNotice(Archive &archive, Notice &notice)
 {
-    notice.parts = loadPromptParts(archive);
+    notice.features = loadFeatures(archive);
     archive(notice.ageMs);
 }
 
--- a/packages/rankgroups/src/rankstatusreceiver.cpp
+++ b/packages/rankgroups/src/rankstatusreceiver.cpp
@@ -14,8 +14,8 @@
 constexpr std::chrono::milliseconds subscribeInterval{1000};
 /// The same for a backend server that has not sent a status update yet.
 constexpr std::chrono::milliseconds firstStatusSubscribeInterval{100};
-/// Reports on held prompts are repeated for entries that have started or missed them, at a rate of all entries together
-/// that doesn't grow with their number.
+/// Reports on held requests are repeated for entries that have started or missed them, at a rate of all entries
+/// together that doesn't grow with their number.
 constexpr std::chrono::milliseconds repeatIntervalPerEntry{250};
 /// Sides that relay each notice.
 constexpr std::size_t relayingSides = 3;
@@ -29,9 +29,9 @@
                                              }),
       m_timer(context)
 {
-    m_entry.prompts().setReportHandlers({[this](const auto &report) { relay(report); },
-                                         [this](const auto &report) { relay(report); },
-                                         [this](const auto &report) { relay(report); }});
+    m_entry.requestGuard().setReportHandlers({[this](const auto &report) { relay(report); },
+                                              [this](const auto &report) { relay(report); },
+                                              [this](const auto &report) { relay(report); }});
     m_entry.intakeTracker().setReportHandler([this](const auto &report) { relay(report); });
 }
 
@@ -41,13 +41,13 @@
         onStatus(ip, *status);
     } else if (const auto *crash = std::get_if<CrashNotice>(&datagram)) {
         const auto time = m_clock.now() - std::chrono::milliseconds(crash->ageMs);
-        m_entry.prompts().apply(CrashReport{crash->backend, crash->parts, time});
+        m_entry.requestGuard().apply(CrashReport{crash->backend, crash->features, time});
     } else if (const auto *progress = std::get_if<ProgressNotice>(&datagram)) {
         const auto time = m_clock.now() - std::chrono::milliseconds(progress->ageMs);
-        m_entry.prompts().apply(ProgressReport{progress->parts, time});
+        m_entry.requestGuard().apply(ProgressReport{progress->features, time});
     } else if (const auto *probe = std::get_if<ProbeNotice>(&datagram)) {
         const auto time = m_clock.now() - std::chrono::milliseconds(probe->ageMs);
-        m_entry.prompts().apply(ProbeReport{probe->parts, time});
+        m_entry.requestGuard().apply(ProbeReport{probe->features, time});
     } else if (const auto *limit = std::get_if<LimitNotice>(&datagram)) {
         const auto time = m_clock.now() - std::chrono::milliseconds(limit->ageMs);
         m_entry.intakeTracker().apply(
@@ -71,7 +71,7 @@
     const bool isRegular = now >= m_nextRegular;
     if (isRegular) {
         m_nextRegular = now + subscribeInterval;
-        m_entry.prompts().tick();
+        m_entry.requestGuard().tick();
         m_subscription.demands = m_entry.intake().demandReports(now);
     }
     if (now >= m_nextRepeat) {
@@ -132,17 +132,17 @@
 
 void RankStatusReceiver::relay(const CrashReport &report)
 {
-    relay(Datagram(CrashNotice{report.backend, report.parts, ageMsOf(report.time)}));
+    relay(Datagram(CrashNotice{report.backend, report.features, ageMsOf(report.time)}));
 }
 
 void RankStatusReceiver::relay(const ProgressReport &report)
 {
-    relay(Datagram(ProgressNotice{report.parts, ageMsOf(report.time)}));
+    relay(Datagram(ProgressNotice{report.features, ageMsOf(report.time)}));
 }
 
 void RankStatusReceiver::relay(const ProbeReport &report)
 {
-    relay(Datagram(ProbeNotice{report.parts, ageMsOf(report.time)}));
+    relay(Datagram(ProbeNotice{report.features, ageMsOf(report.time)}));
 }
 
 void RankStatusReceiver::relay(const forwarding::LimitReport &report)
@@ -152,7 +152,7 @@
 
 void RankStatusReceiver::repeatHeldReports()
 {
-    for (const auto &report : m_entry.prompts().heldReports()) {
+    for (const auto &report : m_entry.requestGuard().heldReports()) {
         relay(report);
     }
 }
--- a/packages/rankgroups/tests/crashnoticestest.cpp
+++ b/packages/rankgroups/tests/crashnoticestest.cpp
@@ -7,34 +7,34 @@
 namespace {
 
 using decisions::quarantine::CrashReport;
-using decisions::quarantine::PromptPart;
-using decisions::quarantine::PromptParts;
+using decisions::quarantine::RequestFeature;
+using decisions::quarantine::RequestFeatures;
 
-const PromptParts parts{PromptPart("common"), PromptPart("bad")};
+const RequestFeatures features{RequestFeature("common"), RequestFeature("bad")};
 
 bool isHeld(Entry &entry)
 {
-    return entry.server.prompts().holdTime(parts).has_value();
+    return entry.server.requestGuard().holdTime(features).has_value();
 }
 
 } // namespace
 
 TEST(CrashNotices, noticesAreTheSameAfterDecoding)
 {
-    const auto crash = decodeDatagram(encodeDatagram(CrashNotice{"b1@5", parts, 70}));
+    const auto crash = decodeDatagram(encodeDatagram(CrashNotice{"b1@5", features, 70}));
     ASSERT_TRUE(crash && std::holds_alternative<CrashNotice>(*crash));
     EXPECT_EQ(std::get<CrashNotice>(*crash).backend, "b1@5");
-    EXPECT_EQ(std::get<CrashNotice>(*crash).parts, parts);
+    EXPECT_EQ(std::get<CrashNotice>(*crash).features, features);
     EXPECT_EQ(std::get<CrashNotice>(*crash).ageMs, 70U);
-    const auto progress = decodeDatagram(encodeDatagram(ProgressNotice{parts, 80}));
+    const auto progress = decodeDatagram(encodeDatagram(ProgressNotice{features, 80}));
     ASSERT_TRUE(progress && std::holds_alternative<ProgressNotice>(*progress));
-    EXPECT_EQ(std::get<ProgressNotice>(*progress).parts, parts);
+    EXPECT_EQ(std::get<ProgressNotice>(*progress).features, features);
     EXPECT_EQ(std::get<ProgressNotice>(*progress).ageMs, 80U);
 }
 
 TEST(CrashNotices, cutOffNoticesAreInvalid)
 {
-    const auto bytes = encodeDatagram(CrashNotice{"b1@5", parts, 70});
+    const auto bytes = encodeDatagram(CrashNotice{"b1@5", features, 70});
     for (std::size_t size = 0; size < bytes.size(); ++size) {
         EXPECT_EQ(decodeDatagram(std::string_view(bytes).substr(0, size)), std::nullopt);
     }
@@ -51,12 +51,12 @@
 
     core::SystemClock clock;
     for (const auto *backend : {"b1", "b2"}) {
-        first.server.prompts().apply(CrashReport{backend, parts, clock.now()});
+        first.server.requestGuard().apply(CrashReport{backend, features, clock.now()});
     }
     ASSERT_TRUE(isHeld(first));
     EXPECT_TRUE(runUntil(context, [&] { return isHeld(second); }));
 
-    first.server.prompts().answerProgressed(parts);
+    first.server.requestGuard().answerProgressed(features);
     ASSERT_FALSE(isHeld(first));
     EXPECT_TRUE(runUntil(context, [&] { return !isHeld(second); }));
 }
--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -19,7 +19,7 @@
     RetriesSent,
     RetriesDeniedByBudget,
     BackendCrashes,
-    PromptsHeld,
+    FeaturesHeld,
     BackendLimitsStated,
     BackendTurnAways,
     RequestsSentInPauses,
