A request that crashes backend servers each time that it is repeated is recognised and held by all entries

Callers of a plain service were refused for seconds, as one request ended one backend server after the other: its caller repeated it at any entry, and each entry sent it on as a new one, with a retry.

The cause is that of the prompts that crash backend servers: a lost attempt counted against the backend server alone. The quarantine looked for parts of prompts only, and lost attempts without such parts were not looked at. Now a digest of host, target, organisation, body and shared prompt parts is a feature beside these parts; RequestGuard reports it apart from them, so that neither hides the other. The decisions and the reports between entries are those of before.

--- a/packages/decisions/include/lycheelanding/decisions/quarantine/requestfeatures.h
+++ b/packages/decisions/include/lycheelanding/decisions/quarantine/requestfeatures.h
@@ -11,4 +11,13 @@
 using RequestFeature = core::TextId<struct RequestFeatureTag>;
 using RequestFeatures = std::vector<RequestFeature>;
 
+/// What a request has in common with others.
+struct SharedFeatures
+{
+    /// Parts of its prompt that other requests may have too.
+    RequestFeatures promptParts;
+    /// Equal for repeats of the request.
+    RequestFeature digest;
+};
+
 } // namespace lycheelanding::decisions::quarantine
--- a/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
@@ -47,9 +47,9 @@
     /// `interval`: since the part before, if it is an event of the same stream.
     void recordBodyPart(std::uint64_t promptTokens, std::optional<core::Duration> interval, core::TimePoint now);
     /// `parts`: whole ones of the answer.
-    void recordProgress(std::size_t parts, const decisions::quarantine::RequestFeatures &promptParts);
+    void recordProgress(std::size_t parts, const decisions::quarantine::SharedFeatures &features);
     /// The connection was lost: the backend server may have crashed.
-    void reportCrashSuspicion(const decisions::quarantine::RequestFeatures &promptParts);
+    void reportCrashSuspicion(const decisions::quarantine::SharedFeatures &features);
     /// The answer is complete and its connection can be used again.
     void releaseConnection();
     /// Closes the connection, which makes the backend server cancel the request.
--- a/packages/forwarding/include/lycheelanding/forwarding/crashdetector.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/crashdetector.h
@@ -19,7 +19,7 @@
     /// Incarnation of the backend server.
     std::string backend;
     asio::ip::tcp::endpoint endpoint;
-    decisions::quarantine::RequestFeatures features;
+    decisions::quarantine::SharedFeatures features;
 };
 
 /// Finds out whether a backend server that has lost a connection has crashed: it then refuses a new one. A backend
--- a/packages/forwarding/include/lycheelanding/forwarding/requestguard.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestguard.h
@@ -33,11 +33,11 @@
     void setReportHandlers(QuarantineReportHandlers handlers) { m_handlers = std::move(handlers); }
 
     /// How long a request is held; nullopt if it may be sent now.
-    std::optional<core::Duration> holdTime(const decisions::quarantine::RequestFeatures &features) const;
+    std::optional<core::Duration> holdTime(const decisions::quarantine::SharedFeatures &features) const;
     /// The error of a request that is held, with its hold time; nullopt if it may be sent now.
-    std::optional<core::Error> holdError(const decisions::quarantine::RequestFeatures &features) const;
-    void requestSent(const decisions::quarantine::RequestFeatures &features);
-    void answerProgressed(const decisions::quarantine::RequestFeatures &features);
+    std::optional<core::Error> holdError(const decisions::quarantine::SharedFeatures &features) const;
+    void requestSent(const decisions::quarantine::SharedFeatures &features);
+    void answerProgressed(const decisions::quarantine::SharedFeatures &features);
     void attemptLost(const LostAttempt &attempt);
 
     /// Applies a report of another entry.
@@ -50,6 +50,10 @@
     void tick() { m_quarantine.tick(m_clock.now()); }
 
 private:
+    void attemptCrashed(const LostAttempt &attempt);
+    void requestSent(const decisions::quarantine::RequestFeatures &features);
+    void answerProgressed(const decisions::quarantine::RequestFeatures &features);
+
     core::SystemClock m_clock;
     EventLog &m_log;
     report::Metrics &m_metrics;
--- a/packages/forwarding/include/lycheelanding/forwarding/requestterms.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestterms.h
@@ -20,9 +20,7 @@
     core::ServiceId service;
     core::OrganisationId organisation;
     TokenCounts tokens;
-    decisions::quarantine::RequestFeatures promptParts;
-    /// Digest of what repeats of the request have in common: host, target, organisation and body.
-    std::string digest;
+    decisions::quarantine::SharedFeatures features;
     core::TimePoint deadline;
     TimeLimitSource deadlineSource = TimeLimitSource::Route;
     std::uint32_t priority = 0;
--- a/packages/forwarding/src/backendattempt.cpp
+++ b/packages/forwarding/src/backendattempt.cpp
@@ -62,15 +62,15 @@
     }
 }
 
-void BackendAttempt::recordProgress(std::size_t parts, const decisions::quarantine::RequestFeatures &promptParts)
+void BackendAttempt::recordProgress(std::size_t parts, const decisions::quarantine::SharedFeatures &features)
 {
     if (!m_hasProgressed && parts >= minPartsOfProgress) {
         m_hasProgressed = true;
-        m_resources.requestGuard.answerProgressed(promptParts);
+        m_resources.requestGuard.answerProgressed(features);
     }
 }
 
-void BackendAttempt::reportCrashSuspicion(const decisions::quarantine::RequestFeatures &promptParts)
+void BackendAttempt::reportCrashSuspicion(const decisions::quarantine::SharedFeatures &features)
 {
     const auto registered = m_resources.backends.find(backend());
     if (!registered || m_hasProgressed) {
@@ -78,7 +78,7 @@
     }
     // A backend server may start again under its id.
     const auto incarnation = registered->id.text() + "@" + std::to_string(registered->startedAtMs);
-    m_resources.requestGuard.attemptLost({incarnation, m_reserved.backend.endpoint, promptParts});
+    m_resources.requestGuard.attemptLost({incarnation, m_reserved.backend.endpoint, features});
 }
 
 void BackendAttempt::releaseConnection()
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -86,7 +86,7 @@
 
 bool ForwardedExchange::giveUpUnservable()
 {
-    const auto held = m_resources.requestGuard.holdError(m_terms.promptParts);
+    const auto held = m_resources.requestGuard.holdError(m_terms.features);
     const auto error
         = held ? held : m_resources.backends.turnAwayError(m_terms.service, m_limits, m_attemptName, now());
     if (error) {
@@ -142,7 +142,7 @@
     m_log.recordSent(m_attempt->startedAt());
     m_answer.restart();
     m_tried.push_back(m_attempt->backend());
-    m_resources.requestGuard.requestSent(m_terms.promptParts);
+    m_resources.requestGuard.requestSent(m_terms.features);
     if (m_attempt->takeIdleConnection()) {
         execute(m_attempts->readyToSend(m_attempt->number()));
         return;
@@ -225,7 +225,7 @@
     if (m_answer.append(m_attempt->head(), bytes)) {
         recordEvent();
     }
-    m_attempt->recordProgress(m_answer.eventCount().value_or(m_attempt->bodyParts()), m_terms.promptParts);
+    m_attempt->recordProgress(m_answer.eventCount().value_or(m_attempt->bodyParts()), m_terms.features);
     if (m_answer.hasBegun()) {
         execute(m_attempts->answerStarted(attempt));
     }
@@ -280,7 +280,7 @@
 void ForwardedExchange::finishAnswer()
 {
     const int status = m_attempt->head().status;
-    m_resources.requestGuard.answerProgressed(m_terms.promptParts);
+    m_resources.requestGuard.answerProgressed(m_terms.features);
     m_answer.finish(m_attempt->head());
     const auto attempt = m_attempt->number();
     endAttempt(Outcome::Answered);
@@ -295,7 +295,7 @@
     if (!isCurrent(attempt)) {
         return;
     }
-    m_attempt->reportCrashSuspicion(m_terms.promptParts);
+    m_attempt->reportCrashSuspicion(m_terms.features);
     m_resources.metrics.increment(error.kind == core::ErrorKind::AnswerMalformed ? report::Counter::AnswersMalformed
                                                                                  : report::Counter::ConnectionsLost);
     endAttempt(Outcome::Failed);
@@ -307,7 +307,7 @@
     if (!m_attempt || m_attempt->bodyParts() > 0) {
         return;
     }
-    if (const auto error = m_resources.requestGuard.holdError(m_terms.promptParts)) {
+    if (const auto error = m_resources.requestGuard.holdError(m_terms.features)) {
         const auto attempt = m_attempt->number();
         endAttempt(Outcome::Cancelled);
         execute(m_attempts->lost(attempt, *error, now()));
@@ -382,7 +382,7 @@
     if (m_tried.size() >= m_terms.route->maxAttempts) {
         return RetryDenial::AttemptsUsed;
     }
-    if (m_resources.requestGuard.holdError(m_terms.promptParts)) {
+    if (m_resources.requestGuard.holdError(m_terms.features)) {
         return RetryDenial::RequestHeld;
     }
     const bool canResume = !m_answer.hasBegun() || m_answer.lastEvent();
@@ -396,7 +396,8 @@
 
 FailedAttemptLine ForwardedExchange::failedAttemptLine(const core::Error &error) const
 {
-    return {error, m_tried.back().text(), m_tried.size(), joinedText(m_terms.promptParts), m_terms.digest};
+    return {error, m_tried.back().text(), m_tried.size(), joinedText(m_terms.features.promptParts),
+            m_terms.features.digest.text()};
 }
 
 void ForwardedExchange::execute(const RetryPossible &action)
--- a/packages/rankgroups/tests/crashnoticestest.cpp
+++ b/packages/rankgroups/tests/crashnoticestest.cpp
@@ -14,7 +14,7 @@
 
 bool isHeld(Entry &entry)
 {
-    return entry.server.requestGuard().holdTime(features).has_value();
+    return entry.server.requestGuard().holdTime({features, RequestFeature("request:1")}).has_value();
 }
 
 } // namespace
@@ -56,7 +56,7 @@
     ASSERT_TRUE(isHeld(first));
     EXPECT_TRUE(runUntil(context, [&] { return isHeld(second); }));
 
-    first.server.requestGuard().answerProgressed(features);
+    first.server.requestGuard().answerProgressed({features, RequestFeature("request:1")});
     ASSERT_FALSE(isHeld(first));
     EXPECT_TRUE(runUntil(context, [&] { return !isHeld(second); }));
 }
