Held features are not displaced by many that are only suspected

Found by reading: the memory of the quarantine is bounded, and the feature whose last crash was the oldest went first, held or not. Each request in progress at backend servers that end together is suspected by its digest, so that more of them than the bound let a held request go on.

RequestQuarantine.heldFeaturesAreKeptWhileManyOthersAreSuspected failed before.

--- a/packages/decisions/include/lycheelanding/decisions/quarantine/requestquarantine.h
+++ b/packages/decisions/include/lycheelanding/decisions/quarantine/requestquarantine.h
@@ -58,7 +58,8 @@
     core::Duration probeTimeout = std::chrono::seconds(5);
     /// A feature is forgotten this long after its last crash, or after the end of its hold.
     core::Duration suspicionTime = std::chrono::minutes(10);
-    /// Bounds the memory; the feature whose last crash is the oldest is forgotten first.
+    /// Bounds the memory; features that are not held are forgotten first, and of these the one whose last crash is the
+    /// oldest.
     std::size_t maxSuspects = 256;
 };
 
--- a/packages/decisions/src/quarantine/requestquarantine.cpp
+++ b/packages/decisions/src/quarantine/requestquarantine.cpp
@@ -3,6 +3,7 @@
 #include "lycheelanding/core/stablehash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lycheelanding::decisions::quarantine {
 
@@ -76,9 +77,11 @@
 
 void RequestQuarantine::removeOldest()
 {
-    const auto oldest = std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto &left, const auto &right) {
-        return left.second.lastCrash < right.second.lastCrash;
-    });
+    const auto rank
+        = [this](const auto &item) { return std::make_pair(isHeldFeature(item.second), item.second.lastCrash); };
+    const auto oldest
+        = std::min_element(m_suspects.begin(), m_suspects.end(),
+                           [&rank](const auto &left, const auto &right) { return rank(left) < rank(right); });
     m_suspects.erase(oldest);
 }
 
--- a/packages/decisions/tests/quarantine/requestquarantinetest.cpp
+++ b/packages/decisions/tests/quarantine/requestquarantinetest.cpp
@@ -157,6 +157,21 @@
     EXPECT_TRUE(quarantine.isEmpty());
 }
 
+// Many backend servers that end at once make many features suspected, which displaced the ones that were held.
+TEST(RequestQuarantine, heldFeaturesAreKeptWhileManyOthersAreSuspected)
+{
+    const QuarantineSettings settings;
+    RequestQuarantine quarantine(settings, 7);
+    const RequestFeatures bad{RequestFeature("bad")};
+    quarantine.crashed(crash("b1", bad, start));
+    quarantine.crashed(crash("b2", bad, start));
+    ASSERT_TRUE(quarantine.holdTime(bad, start));
+    for (std::size_t number = 0; number < 2 * settings.maxSuspects; ++number) {
+        quarantine.crashed(crash("b3", {RequestFeature("p" + std::to_string(number))}, start + 1s));
+    }
+    EXPECT_TRUE(quarantine.holdTime(bad, start + 1s));
+}
+
 /// Reports reach entries in different orders and several times; what they hold is the same.
 RC_GTEST_PROP(RequestQuarantineFuzz, orderAndRepetitionOfCrashReportsDoNotMatter, ())
 {
