Only a whole answer clears a repeated request

A backend server may send some events of a stream before the request ends it. Two events cleared the digest, as they clear the parts of a prompt, and the loss was not looked at any more: each repeat ended another backend server. Now the digest is cleared by whole answers, and a crash in mid-answer counts under it; for the parts nothing changes.

Found by reading.

--- a/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
@@ -49,7 +49,7 @@
     /// `parts`: whole ones of the answer.
     void recordProgress(std::size_t parts, const decisions::quarantine::SharedFeatures &features);
     /// The connection was lost: the backend server may have crashed.
-    void reportCrashSuspicion(const decisions::quarantine::SharedFeatures &features);
+    void reportCrashSuspicion(decisions::quarantine::SharedFeatures features);
     /// The answer is complete and its connection can be used again.
     void releaseConnection();
     /// Closes the connection, which makes the backend server cancel the request.
--- a/packages/forwarding/include/lycheelanding/forwarding/crashdetector.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/crashdetector.h
@@ -13,7 +13,7 @@
 
 namespace lycheelanding::forwarding {
 
-/// An attempt whose connection was lost before its answer had begun.
+/// An attempt whose connection was lost before its answer was complete.
 struct LostAttempt
 {
     /// Incarnation of the backend server.
--- a/packages/forwarding/include/lycheelanding/forwarding/requestguard.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestguard.h
@@ -37,7 +37,10 @@
     /// The error of a request that is held, with its hold time; nullopt if it may be sent now.
     std::optional<core::Error> holdError(const decisions::quarantine::SharedFeatures &features) const;
     void requestSent(const decisions::quarantine::SharedFeatures &features);
+    /// The answer has begun: no part of the prompt crashes backend servers that begin it.
     void answerProgressed(const decisions::quarantine::SharedFeatures &features);
+    /// The answer is complete: repeats of the request do not crash backend servers.
+    void answerCompleted(const decisions::quarantine::SharedFeatures &features);
     void attemptLost(const LostAttempt &attempt);
 
     /// Applies a report of another entry.
@@ -52,7 +55,7 @@
 private:
     void attemptCrashed(const LostAttempt &attempt);
     void requestSent(const decisions::quarantine::RequestFeatures &features);
-    void answerProgressed(const decisions::quarantine::RequestFeatures &features);
+    void clear(const decisions::quarantine::RequestFeatures &features);
 
     core::SystemClock m_clock;
     EventLog &m_log;
--- a/packages/forwarding/src/backendattempt.cpp
+++ b/packages/forwarding/src/backendattempt.cpp
@@ -70,15 +70,18 @@
     }
 }
 
-void BackendAttempt::reportCrashSuspicion(const decisions::quarantine::SharedFeatures &features)
+void BackendAttempt::reportCrashSuspicion(decisions::quarantine::SharedFeatures features)
 {
     const auto registered = m_resources.backends.find(backend());
-    if (!registered || m_hasProgressed) {
+    if (!registered) {
         return;
     }
+    if (m_hasProgressed) {
+        features.promptParts.clear();
+    }
     // A backend server may start again under its id.
     const auto incarnation = registered->id.text() + "@" + std::to_string(registered->startedAtMs);
-    m_resources.requestGuard.attemptLost({incarnation, m_reserved.backend.endpoint, features});
+    m_resources.requestGuard.attemptLost({incarnation, m_reserved.backend.endpoint, std::move(features)});
 }
 
 void BackendAttempt::releaseConnection()
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -280,7 +280,7 @@
 void ForwardedExchange::finishAnswer()
 {
     const int status = m_attempt->head().status;
-    m_resources.requestGuard.answerProgressed(m_terms.features);
+    m_resources.requestGuard.answerCompleted(m_terms.features);
     m_answer.finish(m_attempt->head());
     const auto attempt = m_attempt->number();
     endAttempt(Outcome::Answered);
--- a/packages/forwarding/src/requestguard.cpp
+++ b/packages/forwarding/src/requestguard.cpp
@@ -94,15 +94,20 @@
 
 void RequestGuard::answerProgressed(const SharedFeatures &features)
 {
-    if (m_quarantine.isEmpty()) {
-        return;
+    if (!m_quarantine.isEmpty()) {
+        clear(features.promptParts);
     }
-    for (const auto &group : groupsOf(features)) {
-        answerProgressed(group);
+}
+
+void RequestGuard::answerCompleted(const SharedFeatures &features)
+{
+    answerProgressed(features);
+    if (!m_quarantine.isEmpty()) {
+        clear({features.digest});
     }
 }
 
-void RequestGuard::answerProgressed(const RequestFeatures &features)
+void RequestGuard::clear(const RequestFeatures &features)
 {
     const ProgressReport report{features, m_clock.now()};
     if (m_quarantine.progressed(report)) {
--- a/packages/forwarding/tests/crashingrequeststest.cpp
+++ b/packages/forwarding/tests/crashingrequeststest.cpp
@@ -159,6 +159,19 @@
     }
 }
 
+// A backend server may send some events of a stream before it crashes. They cleared the request, and each repeat ended
+// another backend server.
+TEST(CrashingRequests, repeatsThatCrashBackendsInMidStreamAreRecognised)
+{
+    CrashSimulation entry;
+    entry.firstBytes = "HTTP/1.1 200 OK\r\nProof: p\r\nAttempt: 77\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\nf\r\nid: 3\ndata: c\n\n\r\n";
+    for (int number = 0; number < backendCount; ++number) {
+        entry.exchange(callerRequest("POST", crashingBody));
+    }
+    EXPECT_LE(entry.crashes, crashesUntilRepeatIsRecognised + repeatsSentLater);
+}
+
 // A repeat that is recognised gets its answer at once, with a time to come back, and the answer is true.
 TEST(CrashingRequests, recognisedRepeatIsRefusedAtOnce)
 {
