--- a/packages/decisions/include/lycheelanding/decisions/quarantine/requestquarantine.h
+++ b/packages/decisions/include/lycheelanding/decisions/quarantine/requestquarantine.h
@@ -14,7 +14,7 @@
 
 namespace lycheelanding::decisions::quarantine {
 
-/// A backend server crashed while it held a request that it had not begun to answer.
+/// A backend server crashed while it held a request that it had not answered.
 struct CrashReport
 {
     /// One incarnation of a backend server; every entry names it alike.
--- a/packages/decisions/tests/quarantine/crashingpromptstest.cpp
+++ b/packages/decisions/tests/quarantine/crashingpromptstest.cpp
@@ -252,7 +252,7 @@
         Fleet fleet(options);
         fleet.play();
         EXPECT_LE(fleet.badSentLater(), requestsSentLater);
-        EXPECT_LE(fleet.soundHeld(), fleet.soundSent() / 20) << firstParts << " first features";
+        EXPECT_LE(fleet.soundHeld(), fleet.soundSent() / 20) << firstParts << " first parts";
     }
 }
 
@@ -273,6 +273,20 @@
     }
 }
 
+RC_GTEST_PROP(CrashingPromptsFuzz, boundOfOneRequestHoldsForAnyFleetWhileReportsAreLost, ())
+{
+    FleetOptions options;
+    options.entries = *rc::gen::inRange<std::size_t>(1, 40);
+    options.firstParts = 0;
+    options.badInterval = std::chrono::milliseconds(*rc::gen::inRange(20, 5000));
+    options.soundInterval = std::chrono::milliseconds(*rc::gen::inRange(5, 1000));
+    options.lostReportPercent = *rc::gen::inRange(0, 20);
+    options.seed = *rc::gen::inRange<std::uint64_t>(1, 1000000);
+    Fleet fleet(options);
+    fleet.play();
+    RC_ASSERT(fleet.badSentLater(crashesUntilRepeatIsRecognised) <= requestsSentLater);
+}
+
 RC_GTEST_PROP(CrashingPromptsFuzz, boundHoldsForAnyFleetWhileReportsAreLost, ())
 {
     FleetOptions options;
