--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -214,6 +214,22 @@
     {
         auto socket = connect();
         asio::write(socket, asio::buffer(request));
+        return receiveAll(socket);
+    }
+
+    /// Sends `request`, and returns its connection when the entry has chosen a backend server and opens a connection
+    /// there.
+    asio::ip::tcp::socket sendUntilConnecting(const std::string &request)
+    {
+        auto socket = connect();
+        asio::write(socket, asio::buffer(request));
+        runUntil([this] { return m_entry.metrics().value(report::Counter::ConnectionsOpened) == 1; });
+        return socket;
+    }
+
+    /// Returns all bytes that are received until the entry closes the connection.
+    std::string receiveAll(asio::ip::tcp::socket &socket)
+    {
         std::string answer;
         bool isFinished = false;
         asio::async_read(socket, asio::dynamic_buffer(answer),
--- a/packages/forwarding/tests/leavingbackendstest.cpp
+++ b/packages/forwarding/tests/leavingbackendstest.cpp
@@ -55,16 +55,10 @@
     EntrySimulation simulation;
     simulation.configure(RouteKind::NonIdempotent);
     auto &first = simulation.addBackend([](const std::string &) { return ScriptedResponse{backendAnswer("first")}; });
-    auto socket = simulation.connect();
-    asio::write(socket, asio::buffer(callerRequest("POST", "release")));
-    simulation.runUntil(
-        [&simulation] { return simulation.entry().metrics().value(report::Counter::ConnectionsOpened) == 1; });
+    auto socket = simulation.sendUntilConnecting(callerRequest("POST", "release"));
     auto &second = simulation.addBackend([](const std::string &) { return ScriptedResponse{backendAnswer("second")}; });
     simulation.removeBackend(1);
-    std::string answer;
-    bool isFinished = false;
-    asio::async_read(socket, asio::dynamic_buffer(answer), [&isFinished](const auto &, auto) { isFinished = true; });
-    simulation.runUntil([&isFinished] { return isFinished; });
+    const auto answer = simulation.receiveAll(socket);
     EXPECT_TRUE(first.requests.empty());
     EXPECT_EQ(second.requests.size(), 1U);
     EXPECT_TRUE(answer.ends_with("second")) << answer;
