--- a/review/common/standins.hh
+++ b/review/common/standins.hh
@@ -493,6 +493,17 @@
         return Clock::now();
     }
 
+    /// Takes over all keys and the revision of another store that is about to end.
+    void takeOver(Store &other)
+    {
+        const std::scoped_lock lock(m_mutex, other.m_mutex);
+        m_items = other.m_items;
+        m_history = other.m_history;
+        m_leases = other.m_leases;
+        m_revision = other.m_revision;
+        m_lastLease = other.m_lastLease;
+    }
+
     /// Cuts all watches that wait under `prefix`: their connections end without an answer.
     int cutWatches(const std::string &prefix)
     {
