--- a/review/common/standins.hh
+++ b/review/common/standins.hh
@@ -513,6 +513,17 @@
         m_changed.notify_all();
         return waiting;
     }
+    /// All connections that are open now go silent for good, while new ones work. The other side's own TCP would show it
+    /// after `detection` without an acknowledgement, so each is reset that long after the first bytes that come on it, or
+    /// after its last use where none come.
+    Clock::time_point silenceConnections(milliseconds detection)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_detection = detection;
+        ++m_silences;
+        m_changed.notify_all();
+        return Clock::now();
+    }
     /// Watches that wait under `prefix`.
     int waiting(const std::string &prefix)
     {
@@ -587,9 +598,30 @@
     void serve(int socket)
     {
         MessageReader reader(socket);
-        while (const auto request = reader.next()) {
+        const int silences = m_silences;
+        auto lastUse = Clock::now();
+        while (true) {
+            // Short waits, so that a silence is seen.
+            pollfd state{socket, POLLIN, 0};
+            const bool isReadable = reader.hasBytes() || ::poll(&state, 1, 5) > 0;
+            if (m_silences != silences) {
+                staySilent(socket, isReadable ? Clock::now() : lastUse, isReadable);
+                return;
+            }
+            if (!isReadable) {
+                continue;
+            }
+            const auto request = reader.next();
+            if (!request) {
+                return;
+            }
+            lastUse = Clock::now();
             std::string body;
             const int status = request->path() == "/-/kv-watch" ? watch(*request, body) : call(*request, body);
+            if (m_silences != silences) {
+                staySilent(socket, lastUse, true);
+                return;
+            }
             if (status == 0) {
                 return;
             }
@@ -600,6 +632,20 @@
         }
     }
 
+    void staySilent(int socket, Clock::time_point lastUse, bool hasBytes)
+    {
+        pollfd state{socket, POLLIN, 0};
+        while (!hasBytes && Clock::now() < lastUse + m_detection && !m_isStopped) {
+            hasBytes = ::poll(&state, 1, 5) > 0;
+            lastUse = hasBytes ? Clock::now() : lastUse;
+        }
+        while (Clock::now() < lastUse + m_detection && !m_isStopped) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        const linger option{1, 0};
+        ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+    }
+
     /// Status 0: the watch is cut.
     int watch(const Message &request, std::string &body)
     {
@@ -608,6 +654,7 @@
         const auto end = Clock::now() + milliseconds(std::atoi(request.query("WaitMs").c_str()));
         std::unique_lock lock(m_mutex);
         const int cuts = m_cuts[prefix];
+        const int silences = m_silences;
         Json events = Json::array();
         ++m_waiting[prefix];
         while (true) {
@@ -618,7 +665,8 @@
                                                 : Json{{"Key", event.key}, {"Revision", event.revision}, {"Tombstone", true}});
                 }
             }
-            if (!events.empty() || Clock::now() >= end || m_isStopped || m_cuts[prefix] != cuts) {
+            if (!events.empty() || Clock::now() >= end || m_isStopped || m_cuts[prefix] != cuts
+                || m_silences != silences) {
                 break;
             }
             m_changed.wait_until(lock, std::min(end, Clock::now() + milliseconds(50)));
@@ -718,7 +766,9 @@
     Record &m_record;
     std::mutex m_mutex;
     std::condition_variable m_changed;
-    bool m_isStopped = false;
+    std::atomic<bool> m_isStopped = false;
+    std::atomic<int> m_silences = 0;
+    milliseconds m_detection{};
     std::uint64_t m_revision = 100;
     std::uint64_t m_lastLease = 70000;
     std::map<std::string, Item> m_items;
