--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,5 +1,5 @@
-// All open connections to the store go silent for good, while new ones work. Half a second later four workers report
-// "draining" to the store and serve on. The entry is in touch again StableWindowMs after the connections went silent.
+// Workers leave one after the other without reporting "draining": their registrations are removed, and they serve on for
+// DrainMs and a little longer. Shortly before each removal the store cuts the watches that wait, two times in a row.
 #include "../common/plainworker.hh"
 
 using namespace review;
@@ -7,12 +7,11 @@
 namespace {
 
 constexpr int workers = 8;
-
-constexpr int leaving = 4;
+constexpr int leaving = 5;
 constexpr int clients = 12;
 constexpr milliseconds drainTime{2000};
-/// An entry's own TCP shows a silent connection: its sockets have TCP_USER_TIMEOUT at 3 s.
-constexpr milliseconds detection{3000};
+/// "and a little longer"
+constexpr milliseconds servesOn{2600};
 constexpr milliseconds stableWindow{3000};
 
 std::string configuration()
@@ -43,7 +42,7 @@
     std::unique_ptr<PlainWorker> worker;
     std::uint64_t born = 0;
     std::atomic<bool> isRegistered = true;
-    std::optional<Clock::time_point> leavesSince;
+    std::optional<Clock::time_point> removedAt;
 };
 
 std::atomic<bool> isOver = false;
@@ -61,17 +60,14 @@
         }
         char id[32];
         std::snprintf(id, sizeof id, "%04x%08x", number, count);
+        record.line("client %d sends %s", number, id);
         sendAll(socket,
                 "POST /release/job HTTP/1.1\r\nHost: lines.example\r\nAttempt-Id: " + std::string(id)
                     + "\r\nDeadline-Ms: 1500\r\nContent-Length: 3\r\n\r\njob");
         const auto answer = reader->next(milliseconds(1600));
         const int status = answer ? answer->status() : 0;
-        if (status == 200) {
-            ++answered;
-        } else {
-            ++lost;
-            record.line("client %d: %s is answered %d", number, id, status);
-        }
+        record.line("client %d: %s is answered %d", number, id, status);
+        ++(status == 200 ? answered : lost);
         if (status == 0 || isSameName(answer->field("Connection"), "close")) {
             ::close(socket);
             socket = -1;
@@ -127,27 +123,42 @@
     for (int number = 0; number < clients; ++number) {
         threads.emplace_back([&, number] { runClient(number, entry, record); });
     }
+    // Nothing is disturbed for longer than StableWindowMs before the first worker leaves, and between two of them.
     std::this_thread::sleep_for(stableWindow + milliseconds(1500));
-    Clock::time_point silentSince = Clock::now();
-    if (isTroubleOn()) {
-        silentSince = store.silenceConnections(detection);
-        record.line("the connections to the store go silent");
-    }
-    std::this_thread::sleep_for(milliseconds(500));
+    std::vector<std::thread> exits;
     for (int index = 0; index < leaving; ++index) {
         Member &member = *members[index];
-        const std::lock_guard lock(beats);
-        member.isRegistered = false;
-        member.leavesSince = store.put(
-            "servers/" + member.worker->id(),
-            registration("line-orders", member.worker->address(), "draining", member.born, 99999));
-        record.line("%s reports draining", member.worker->id().c_str());
+        if (isTroubleOn()) {
+            for (int cut = 0; cut < 2; ++cut) {
+                // A watch that is waiting is cut; the entry's next one waits some milliseconds later.
+                for (int tries = 0; tries < 1000 && store.waiting("servers/") == 0; ++tries) {
+                    std::this_thread::sleep_for(milliseconds(1));
+                }
+                record.line("the store cuts %d watches of servers/", store.cutWatches("servers/"));
+                std::this_thread::sleep_for(milliseconds(20));
+            }
+            std::this_thread::sleep_for(milliseconds(130));
+        }
+        {
+            const std::lock_guard lock(beats);
+            member.isRegistered = false;
+            member.removedAt = store.remove("servers/" + member.worker->id());
+        }
+        record.line("the registration of %s is removed", member.worker->id().c_str());
+        exits.emplace_back([&member, &record] {
+            std::this_thread::sleep_for(servesOn);
+            member.worker->stop();
+            record.line("%s has ended", member.worker->id().c_str());
+        });
+        std::this_thread::sleep_for(stableWindow + milliseconds(1500));
     }
-    std::this_thread::sleep_for(milliseconds(6000));
     isOver = true;
     for (auto &thread : threads) {
         thread.join();
     }
+    for (auto &thread : exits) {
+        thread.join();
+    }
     heartbeats.join();
     const bool isRunning = process.isRunning();
     process.end();
@@ -156,23 +167,22 @@
     double latest = 0.0;
     for (const auto &run : runs.all()) {
         for (const auto &member : members) {
-            if (member->worker->id() != run.worker || !member->leavesSince) {
+            if (member->worker->id() != run.worker || !member->removedAt) {
                 continue;
             }
-            const double after = std::chrono::duration<double>(run.at - *member->leavesSince).count();
-            const bool isInTouch = run.at > silentSince + stableWindow;
-            if (isInTouch && run.at > *member->leavesSince + drainTime) {
+            const double after = std::chrono::duration<double>(run.at - *member->removedAt).count();
+            if (run.at > *member->removedAt + drainTime) {
                 ++late;
                 latest = std::max(latest, after);
-                record.line("DRAIN: %s reached %s %.3f s after it reported draining", run.attempt.c_str(),
+                record.line("DRAIN: %s reached %s %.3f s after its registration was removed", run.attempt.c_str(),
                             run.worker.c_str(), after);
             }
         }
     }
     record.line("answered %d, other answers %d; requests that reached a worker later than DrainMs %d, the latest "
-                "%.3f s after the report",
+                "%.3f s after the removal",
                 answered.load(), lost.load(), late, latest);
-    std::printf("answered %d, other answers %d; requests later than DrainMs %d, the latest %.3f s after the report\n",
+    std::printf("answered %d, other answers %d; requests later than DrainMs %d, the latest %.3f s after the removal\n",
                 answered.load(), lost.load(), late, latest);
     if (!isRunning || answered == 0) {
         return couldNotRun;
--- a/review/common/standins.hh
+++ b/review/common/standins.hh
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -789,6 +790,8 @@
     {
         m_id = ::fork();
         if (m_id == 0) {
+            // It must not outlive a case that is ended from outside.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             std::FILE *const log = std::freopen(logPath.c_str(), "a", stdout);
             if (log != nullptr) {
                 ::dup2(::fileno(stdout), 2);
