--- a/review/common/plainworker.hh
+++ b/review/common/plainworker.hh
@@ -10,6 +10,7 @@
 {
     std::string attempt;
     std::string worker;
+    /// When the request had reached the worker.
     Clock::time_point at;
     std::string path;
     std::string body;
@@ -92,6 +93,7 @@
 
     std::string answerTo(const Message &request, std::string &late)
     {
+        const auto arrival = Clock::now();
         const std::string attempt = request.field("Attempt-Id");
         if (request.has("Expect-Instance") && request.field("Expect-Instance") != id()) {
             return answerText(421, "Instance-Id: " + id() + "\r\n", "");
@@ -115,7 +117,7 @@
         ++m_working;
         lock.unlock();
         m_record.line("%s runs %s", id().c_str(), attempt.c_str());
-        m_runs.add({attempt, id(), Clock::now(), request.target(), request.body});
+        m_runs.add({attempt, id(), arrival, request.target(), request.body});
         std::this_thread::sleep_for(m_settings.work);
         lock.lock();
         --m_working;
