--- /dev/null
+++ b/review/common/plainworker.hh
@@ -0,0 +1,144 @@
+// A plain worker: it runs `slots` requests at a time, queues a few more and sheds the rest.
+#pragma once
+
+#include "standins.hh"
+
+namespace review {
+
+/// One run: a request on which the worker began to work.
+struct Run
+{
+    std::string attempt;
+    std::string worker;
+    Clock::time_point at;
+    std::string path;
+    std::string body;
+};
+
+/// The runs of all workers.
+class Runs
+{
+public:
+    void add(Run run)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_runs.push_back(std::move(run));
+    }
+    std::vector<Run> all() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_runs;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<Run> m_runs;
+};
+
+struct PlainWorkerSettings
+{
+    std::string id;
+    int slots = 6;
+    /// "queues a few more"
+    int queue = 3;
+    milliseconds work{60};
+    /// Requests of other callers fill the worker for this time in each second.
+    milliseconds fullFor{0};
+    /// Share of its answers after which the worker sends a bare copy of its refusal, late: at the point where the next
+    /// answer is expected. 0: none.
+    double strayRefusals = 0.0;
+};
+
+class PlainWorker
+{
+public:
+    PlainWorker(PlainWorkerSettings settings, Runs &runs, Record &record, std::uint16_t port = 0)
+        : m_settings(std::move(settings)), m_runs(runs), m_record(record),
+          m_listener("127.0.0.1", port, [this](int socket) { serve(socket); })
+    { }
+
+    std::string address() const { return m_listener.address(); }
+    const std::string &id() const { return m_settings.id; }
+    void stop() { m_listener.stop(); }
+    int answers() const { return m_answers; }
+    int sheds() const { return m_sheds; }
+    int strayRefusals() const { return m_strayRefusals; }
+
+private:
+    void serve(int socket)
+    {
+        MessageReader reader(socket);
+        std::string late;
+        while (const auto request = reader.next()) {
+            if (request->isCutOff) {
+                return;
+            }
+            if (!late.empty()) {
+                m_record.line("%s sends a second, bare copy of its refusal, before it works on %s", id().c_str(),
+                              request->field("Attempt-Id").c_str());
+                if (!sendAll(socket, std::exchange(late, {}))) {
+                    return;
+                }
+            }
+            const std::string answer = answerTo(*request, late);
+            if (!sendAll(socket, answer)) {
+                return;
+            }
+        }
+    }
+
+    std::string answerTo(const Message &request, std::string &late)
+    {
+        const std::string attempt = request.field("Attempt-Id");
+        if (request.has("Expect-Instance") && request.field("Expect-Instance") != id()) {
+            return answerText(421, "Instance-Id: " + id() + "\r\n", "");
+        }
+        ++m_answers;
+        std::unique_lock lock(m_mutex);
+        if (m_running >= m_settings.slots + m_settings.queue || isFullOfOthers()) {
+            ++m_sheds;
+            lock.unlock();
+            m_record.line("%s is full and refuses %s: 503 Not-Executed", id().c_str(), attempt.c_str());
+            if (m_strayRefusals + 1 <= m_settings.strayRefusals * m_answers) {
+                ++m_strayRefusals;
+                // As `fleetbench wire` shows a worker that sheds.
+                late = answerText(503, "Not-Executed: 1\r\n", "");
+            }
+            return answerText(503, "Attempt-Id: " + attempt + "\r\nNot-Executed: 1\r\n", "");
+        }
+        ++m_running;
+        m_free.wait(lock, [this] { return m_working < m_settings.slots; });
+        ++m_working;
+        lock.unlock();
+        m_record.line("%s runs %s", id().c_str(), attempt.c_str());
+        m_runs.add({attempt, id(), Clock::now(), request.target(), request.body});
+        std::this_thread::sleep_for(m_settings.work);
+        lock.lock();
+        --m_working;
+        --m_running;
+        lock.unlock();
+        m_free.notify_one();
+        return answerText(200, "Attempt-Id: " + attempt + "\r\nResponse-Seal: " + id() + "." + attempt + "\r\n",
+                          "done by " + id());
+    }
+
+    bool isFullOfOthers() const
+    {
+        const auto sinceStart = std::chrono::duration_cast<milliseconds>(Clock::now() - startTime);
+        return sinceStart % std::chrono::seconds(1) < m_settings.fullFor;
+    }
+
+    const PlainWorkerSettings m_settings;
+    Runs &m_runs;
+    Record &m_record;
+    std::mutex m_mutex;
+    std::condition_variable m_free;
+    int m_running = 0;
+    int m_working = 0;
+    std::atomic<int> m_answers = 0;
+    std::atomic<int> m_sheds = 0;
+    std::atomic<int> m_strayRefusals = 0;
+    Listener m_listener;
+};
+
+} // namespace review
