--- a/review/common/plainworker.hh
+++ b/review/common/plainworker.hh
@@ -45,8 +45,10 @@
     /// Requests of other callers fill the worker for this time in each second.
     milliseconds fullFor{0};
     /// Share of its answers after which the worker sends a bare copy of its refusal, late: at the point where the next
-    /// answer is expected. 0: none.
+    /// answer is expected. 0: none. It does so for `strayFor` in each `strayEvery`.
     double strayRefusals = 0.0;
+    milliseconds strayFor{5000};
+    milliseconds strayEvery{10000};
 };
 
 class PlainWorker
@@ -60,6 +62,7 @@
     std::string address() const { return m_listener.address(); }
     const std::string &id() const { return m_settings.id; }
     void stop() { m_listener.stop(); }
+    /// Answers in the times in which it may be faulty.
     int answers() const { return m_answers; }
     int sheds() const { return m_sheds; }
     int strayRefusals() const { return m_strayRefusals; }
@@ -93,13 +96,14 @@
         if (request.has("Expect-Instance") && request.field("Expect-Instance") != id()) {
             return answerText(421, "Instance-Id: " + id() + "\r\n", "");
         }
-        ++m_answers;
+        const bool isFaulty = isWithin(m_settings.strayFor, m_settings.strayEvery);
+        m_answers += isFaulty ? 1 : 0;
         std::unique_lock lock(m_mutex);
-        if (m_running >= m_settings.slots + m_settings.queue || isFullOfOthers()) {
+        if (m_running >= m_settings.slots + m_settings.queue || isWithin(m_settings.fullFor, std::chrono::seconds(1))) {
             ++m_sheds;
             lock.unlock();
             m_record.line("%s is full and refuses %s: 503 Not-Executed", id().c_str(), attempt.c_str());
-            if (m_strayRefusals + 1 <= m_settings.strayRefusals * m_answers) {
+            if (isFaulty && m_strayRefusals + 1 <= m_settings.strayRefusals * m_answers) {
                 ++m_strayRefusals;
                 // As `fleetbench wire` shows a worker that sheds.
                 late = answerText(503, "Not-Executed: 1\r\n", "");
@@ -122,10 +126,10 @@
                           "done by " + id());
     }
 
-    bool isFullOfOthers() const
+    /// Whether it is the first part of a period.
+    static bool isWithin(milliseconds part, milliseconds period)
     {
-        const auto sinceStart = std::chrono::duration_cast<milliseconds>(Clock::now() - startTime);
-        return sinceStart % std::chrono::seconds(1) < m_settings.fullFor;
+        return std::chrono::duration_cast<milliseconds>(Clock::now() - startTime) % period < part;
     }
 
     const PlainWorkerSettings m_settings;
