Log of a regained store gives the time without answers

ContactRegained carries the last answer and the earliest return of the store; no decision uses them yet.

--- a/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
+++ b/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
@@ -89,7 +89,13 @@
 { };
 /// The store answers again.
 struct ContactRegained
-{ };
+{
+    /// Last answer before contact was lost.
+    core::TimePoint lastContact;
+    /// The store may have answered new calls from this time on: when the last listing that failed was sent, or
+    /// lastContact if only a watch failed.
+    core::TimePoint earliestReturn;
+};
 
 using FollowerAction
     = std::variant<ReadPage, WatchPrefix, CancelCall, KeysListed, KeyWritten, KeyRemoved, ContactLost, ContactRegained>;
@@ -148,7 +154,7 @@
     void pauseBeforeWatch(core::TimePoint now, FollowerActions &actions);
     void finishListing(core::TimePoint now, FollowerActions &actions);
     void backOff(core::TimePoint now, FollowerActions &actions);
-    void recordContact(FollowerActions &actions);
+    void recordContact(core::TimePoint now, FollowerActions &actions);
     void cancelCall(FollowerActions &actions);
 
     const FollowerSettings m_settings;
@@ -157,6 +163,9 @@
     StoreCallNumber m_call;
     core::TimePoint m_phaseEnd;
     core::TimePoint m_watchStart;
+    core::TimePoint m_pageStart;
+    core::TimePoint m_lastContact;
+    core::TimePoint m_earliestReturn;
     core::Duration m_retryDelay;
     /// Keys of the pages read so far.
     std::map<std::string, KeyValue> m_listing;
--- a/packages/decisions/src/distribution/prefixfollower.cpp
+++ b/packages/decisions/src/distribution/prefixfollower.cpp
@@ -12,6 +12,7 @@
 FollowerActions PrefixFollower::start(core::TimePoint now)
 {
     FollowerActions actions;
+    m_lastContact = now;
     startListing(now, actions);
     return actions;
 }
@@ -22,7 +23,7 @@
     if (m_phase != Phase::Reading || call != m_call) {
         return actions;
     }
-    recordContact(actions);
+    recordContact(now, actions);
     if (!std::exchange(m_hasFirstPage, true)) {
         // The watch reports what changes while further pages are read.
         m_revision = page.atRevision;
@@ -60,7 +61,7 @@
     if (m_phase != Phase::Watching || call != m_call) {
         return actions;
     }
-    recordContact(actions);
+    recordContact(now, actions);
     for (const auto &event : events.events) {
         if (const auto *written = std::get_if<KeyValue>(&event)) {
             auto &known = m_revisions[written->key];
@@ -90,7 +91,7 @@
         return actions;
     }
     if (failure == StoreCallFailure::Expired) {
-        recordContact(actions);
+        recordContact(now, actions);
         startListing(now, actions);
         return actions;
     }
@@ -150,6 +151,7 @@
 void PrefixFollower::readPage(std::string afterKey, core::TimePoint now, FollowerActions &actions)
 {
     m_phase = Phase::Reading;
+    m_pageStart = now;
     m_call = m_call.next();
     m_phaseEnd = now + m_settings.pageTimeout;
     actions.emplace_back(ReadPage{m_call, std::move(afterKey)});
@@ -178,8 +180,12 @@
 void PrefixFollower::backOff(core::TimePoint now, FollowerActions &actions)
 {
     if (std::exchange(m_isInContact, false)) {
+        m_earliestReturn = m_lastContact;
         actions.emplace_back(ContactLost{});
     }
+    if (m_phase == Phase::Reading) {
+        m_earliestReturn = m_pageStart;
+    }
     m_phase = Phase::BackingOff;
     // Half of each delay is random, so that processes do not retry simultaneously after an outage.
     const auto half = m_retryDelay / 2;
@@ -187,12 +193,13 @@
     m_retryDelay = std::min(m_retryDelay * 2, m_settings.maxRetryDelay);
 }
 
-void PrefixFollower::recordContact(FollowerActions &actions)
+void PrefixFollower::recordContact(core::TimePoint now, FollowerActions &actions)
 {
     m_retryDelay = m_settings.minRetryDelay;
     if (!std::exchange(m_isInContact, true)) {
-        actions.emplace_back(ContactRegained{});
+        actions.emplace_back(ContactRegained{m_lastContact, m_earliestReturn});
     }
+    m_lastContact = now;
 }
 
 } // namespace lycheelanding::decisions::distribution
