A removed backend server is not kept in use after a watch that was cut

Cause: any failed call to the registry counted as an outage, after which a missing registration is kept in use for 2.5 s, as it may have lapsed. Evidence: storeLost and storeRegained 60 ms apart, and backendUnusable with "lapsed" 2.5 s later; removals without a cut say "removed" at once.

A registration lapses after three heartbeat intervals of silence, and its last heartbeat is at most one interval old when the registry goes away. In a shorter time without answers than two intervals nothing lapses, so it ends no removal's effect. The interval comes from the settings.

--- a/packages/decisions/include/lycheelanding/decisions/membership/backenddirectory.h
+++ b/packages/decisions/include/lycheelanding/decisions/membership/backenddirectory.h
@@ -42,6 +42,8 @@
     /// The platform specifies that registrations that lapsed during an outage of the registry are renewed within about
     /// two seconds of its return. A backend server still missing after that no longer exists.
     core::Duration reregistrationTimeout = std::chrono::milliseconds(2500);
+    /// Backend servers renew their registrations at this interval.
+    core::Duration heartbeatInterval = std::chrono::milliseconds(1200);
     /// How long a backend server that has left is remembered, as the registry may come back from a copy that lists it.
     core::Duration departedTimeToLive = std::chrono::minutes(2);
 };
@@ -61,6 +63,15 @@
 
 std::string_view nameOf(DirectoryReason reason);
 
+/// A time without answers of the registry.
+struct RegistryOutage
+{
+    /// Last answer before it.
+    core::TimePoint lastContact;
+    /// The registry may have been available again from then on, although no answer arrived yet.
+    core::TimePoint earliestReturn;
+};
+
 /// New work may go to the backend server, with this registration.
 struct BackendUsable
 {
@@ -91,8 +102,8 @@
     DirectoryChanges removed(const BackendId &id, core::TimePoint now);
     /// The backend server has said in an answer that it leaves. It gets no new work until a new incarnation registers.
     DirectoryChanges leaving(const BackendId &id, core::TimePoint now);
-    void registryLost();
-    void registryRegained(core::TimePoint now);
+    /// The registry answers again. Registrations that lapsed during a long outage may return for some time.
+    void registryRegained(const RegistryOutage &outage, core::TimePoint now);
     /// The registry has come back from an older copy. It may list backend servers that have left, and lack some that
     /// are there until they register again.
     void registryRestored(core::TimePoint now);
@@ -134,8 +145,8 @@
     const DirectorySettings m_settings;
     std::map<BackendId, Member> m_members;
     std::map<BackendId, Departed> m_departed;
-    bool m_isRegistryLost = false;
-    std::optional<core::TimePoint> m_registryRegainedAt;
+    /// Until then a missing registration may have lapsed during an outage of the registry.
+    std::optional<core::TimePoint> m_reregistrationEnd;
 };
 
 } // namespace lycheelanding::decisions::membership
--- a/packages/decisions/src/membership/backenddirectory.cpp
+++ b/packages/decisions/src/membership/backenddirectory.cpp
@@ -82,23 +82,20 @@
     return changes;
 }
 
-void BackendDirectory::registryLost()
+void BackendDirectory::registryRegained(const RegistryOutage &outage, core::TimePoint now)
 {
-    m_isRegistryLost = true;
-}
-
-void BackendDirectory::registryRegained(core::TimePoint now)
-{
-    if (m_isRegistryLost) {
-        m_isRegistryLost = false;
-        m_registryRegainedAt = now;
+    // Registrations lapse after three heartbeat intervals of silence, and the last heartbeat is at most one interval old
+    // when the registry goes away. In a shorter time without answers, such as that of a watch that was cut, none lapses.
+    constexpr int intervalsOfShortestLapse = 2;
+    if (now - outage.lastContact < intervalsOfShortestLapse * m_settings.heartbeatInterval) {
+        return;
     }
+    m_reregistrationEnd = now + m_settings.reregistrationTimeout;
 }
 
 void BackendDirectory::registryRestored(core::TimePoint now)
 {
-    m_isRegistryLost = false;
-    m_registryRegainedAt = now;
+    m_reregistrationEnd = now + m_settings.reregistrationTimeout;
     for (auto &item : m_members) {
         // Revisions are compared within an era only.
         item.second.backend.revision = 0;
@@ -131,7 +128,7 @@
 
 bool BackendDirectory::isAwaitingReregistrations(core::TimePoint now) const
 {
-    return m_registryRegainedAt && now < *m_registryRegainedAt + m_settings.reregistrationTimeout;
+    return m_reregistrationEnd && now < *m_reregistrationEnd;
 }
 
 bool BackendDirectory::isOfDeparted(const RegisteredBackend &backend, bool isWritten) const
@@ -215,7 +212,7 @@
         return;
     }
     if (!known->second.reregistrationDeadline) {
-        known->second.reregistrationDeadline = *m_registryRegainedAt + m_settings.reregistrationTimeout;
+        known->second.reregistrationDeadline = m_reregistrationEnd;
     }
 }
 
--- a/packages/decisions/tests/membership/backenddirectorytest.cpp
+++ b/packages/decisions/tests/membership/backenddirectorytest.cpp
@@ -93,8 +93,7 @@
     EXPECT_TRUE(directory.listed({backend}, start + 5min).empty());
     directory.registryRestored(start + 5min);
     EXPECT_TRUE(directory.listed({backend}, start + 5min).empty());
-    directory.registryLost();
-    directory.registryRegained(start + 5min);
+    directory.registryRegained({start, start + 5min}, start + 5min);
     EXPECT_TRUE(directory.listed({backend}, start + 5min).empty());
     EXPECT_EQ(directory.usableCount(), 0U);
 
@@ -148,8 +147,7 @@
 {
     BackendDirectory directory({});
     directory.listed({backendNamed("a"), backendNamed("b")}, start);
-    directory.registryLost();
-    directory.registryRegained(start + 5s);
+    directory.registryRegained({start, start + 5s}, start + 5s);
     EXPECT_TRUE(directory.listed({}, start + 5s).empty());
     EXPECT_TRUE(directory.registered(backendNamed("a"), start + 6s).empty());
     EXPECT_TRUE(directory.tick(start + 7s).empty());
@@ -161,8 +159,7 @@
 {
     BackendDirectory directory({});
     directory.listed({backendNamed("a")}, start);
-    directory.registryLost();
-    directory.registryRegained(start + 5s);
+    directory.registryRegained({start, start + 5s}, start + 5s);
     EXPECT_TRUE(isUnusable(directory.listed({drainingNamed("a")}, start + 5s), "a", DirectoryReason::Draining));
 }
 
@@ -196,15 +193,17 @@
 }
 
 /// In any order of events, a backend server is not in use when its last registration says "draining", or when it has
-/// none and the re-registration timeout after an outage has passed.
+/// none and no outage was long enough for a lapse, or the re-registration timeout after it has passed.
 RC_GTEST_PROP(BackendDirectoryFuzz, lastRegistrationDeterminesUse, ())
 {
-    BackendDirectory directory({});
+    const DirectorySettings settings;
+    BackendDirectory directory(settings);
     std::map<std::string, bool> registrations;
     std::map<std::string, bool> inUse;
     core::TimePoint now = start;
     bool isLost = false;
-    core::TimePoint regained = start - 1h;
+    core::TimePoint lostAt;
+    core::TimePoint mayLapseUntil = start;
     const auto apply = [&inUse](const DirectoryChanges &changes) {
         for (const auto &change : changes) {
             if (const auto *usable = std::get_if<BackendUsable>(&change)) {
@@ -232,13 +231,15 @@
             apply(isLost ? DirectoryChanges() : directory.removed(BackendId(name), now));
             break;
         case 3:
-            directory.registryLost();
+            lostAt = isLost ? lostAt : now;
             isLost = true;
             break;
         default:
             if (isLost) {
-                directory.registryRegained(now);
-                regained = now;
+                directory.registryRegained({lostAt, now}, now);
+                if (now - lostAt >= 2 * settings.heartbeatInterval) {
+                    mayLapseUntil = now + settings.reregistrationTimeout;
+                }
                 isLost = false;
             }
             std::vector<RegisteredBackend> all;
@@ -255,7 +256,7 @@
         for (const auto &[each, isUsed] : inUse) {
             const auto known = registrations.find(each);
             RC_ASSERT(known == registrations.end() || known->second);
-            RC_ASSERT(known != registrations.end() || now < regained + DirectorySettings().reregistrationTimeout);
+            RC_ASSERT(known != registrations.end() || now < mayLapseUntil);
         }
     }
 }
