A watch on a connection that is silent for good is replaced within 2.7 s

Cause: a watch without an answer was given up 3.5 s after it was sent, and the pause before it, up to 0.4 s, came on top. A shorter TCP_USER_TIMEOUT was not taken, as it would end connections that only lose packets.

--- a/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
+++ b/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
@@ -106,14 +106,14 @@
     /// A page that has not arrived after this long is read again; the store answers in milliseconds.
     core::Duration pageTimeout = std::chrono::milliseconds(1500);
     /// How long a watch waits at the store. A watch may miss a change without an error; the next watch reports it, or
-    /// the listing that follows Expired. A VM that was undisturbed for 3 s has to know the current configuration, so a
-    /// watch must end sooner.
-    std::chrono::milliseconds watchDuration = std::chrono::milliseconds(2500);
+    /// the listing that follows Expired. A VM that was undisturbed for 3 s has to know the current state, so the pause
+    /// before a watch, the watch, its margin and a listing must take less time together.
+    std::chrono::milliseconds watchDuration = std::chrono::milliseconds(1600);
     /// Minimum time between the starts of two watches. Under a prefix whose keys change all the time each watch ends at
     /// once, and without this bound the calls of each process grow with the number of keys.
     core::Duration minWatchInterval = core::Duration::zero();
     /// Time beyond watchDuration after which a watch counts as lost, as its connection may be dead without an error.
-    core::Duration watchTimeoutMargin = std::chrono::milliseconds(1000);
+    core::Duration watchTimeoutMargin = std::chrono::milliseconds(700);
     /// Bounds of the delay after a failed call; it doubles with each further failure.
     core::Duration minRetryDelay = std::chrono::milliseconds(50);
     core::Duration maxRetryDelay = std::chrono::milliseconds(1000);
--- a/packages/decisions/tests/distribution/prefixfollowertest.cpp
+++ b/packages/decisions/tests/distribution/prefixfollowertest.cpp
@@ -155,6 +155,27 @@
     EXPECT_LT(now - start, undisturbedTime);
 }
 
+// Connections to the store went silent during the pause before a watch, which was then sent on one of them. The entry
+// noticed it 4 s later, and until then sent requests to backend servers that drained.
+TEST(PrefixFollower, watchOnASilentConnectionIsReplacedWithinTheUndisturbedTime)
+{
+    constexpr std::chrono::milliseconds undisturbedTime{3000};
+    FollowerSettings settings;
+    settings.minWatchInterval = 400ms;
+    PrefixFollower follower(settings);
+    const auto page = actionIn<ReadPage>(follower.start(start));
+    const auto watch = actionIn<WatchPrefix>(follower.pageRead(page->call, {{}, false, 10}, start));
+    follower.watchEnded(watch->call, {{KeyValue{"a", "1", 11}}, 11}, start);
+    const auto silentSince = start;
+    std::optional<ReadPage> again;
+    auto now = start;
+    for (; !again && now < start + 10s; now += 25ms) {
+        again = actionIn<ReadPage>(follower.tick(now));
+    }
+    ASSERT_TRUE(again);
+    EXPECT_LT(now - silentSince, undisturbedTime);
+}
+
 TEST(PrefixFollower, retryDelaysGrowWhileTheStoreIsUnavailable)
 {
     const FollowerSettings settings;
