A backend server that left during an outage is not kept in use once the entry is undisturbed

The store may have been back since the last failed call was made, so the time ends 3 s after that.

RegistryOutage.removalDuringAnOutageEndsUseWithinTheUndisturbedTimeAfterIt and .removalDuringASilentWatchEndsUseWithinTheUndisturbedTime failed before; .registrationThatLapsedInAnOutageKeepsItsBackendInUseUntilItIsBack guards the other side.

--- a/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
+++ b/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
@@ -116,7 +116,7 @@
     core::Duration watchTimeoutMargin = std::chrono::milliseconds(700);
     /// Bounds of the delay after a failed call; it doubles with each further failure.
     core::Duration minRetryDelay = std::chrono::milliseconds(50);
-    core::Duration maxRetryDelay = std::chrono::milliseconds(1000);
+    core::Duration maxRetryDelay = std::chrono::milliseconds(600);
     std::uint64_t seed = 1;
 };
 
--- a/packages/decisions/include/lycheelanding/decisions/membership/backenddirectory.h
+++ b/packages/decisions/include/lycheelanding/decisions/membership/backenddirectory.h
@@ -44,6 +44,9 @@
     core::Duration reregistrationTimeout = std::chrono::milliseconds(2500);
     /// Backend servers renew their registrations at this interval.
     core::Duration heartbeatInterval = std::chrono::milliseconds(1200);
+    /// How long after the registry may have returned a missing registration can still count as lapsed. An entry that
+    /// was undisturbed for this long has to know which backend servers have left.
+    core::Duration undisturbedTime = std::chrono::milliseconds(3000);
     /// How long a backend server that has left is remembered, as the registry may come back from a copy that lists it.
     core::Duration departedTimeToLive = std::chrono::minutes(2);
 };
--- a/packages/decisions/src/membership/backenddirectory.cpp
+++ b/packages/decisions/src/membership/backenddirectory.cpp
@@ -90,7 +90,8 @@
     if (now - outage.lastContact < intervalsOfShortestLapse * m_settings.heartbeatInterval) {
         return;
     }
-    m_reregistrationEnd = now + m_settings.reregistrationTimeout;
+    m_reregistrationEnd
+        = std::min(now + m_settings.reregistrationTimeout, outage.earliestReturn + m_settings.undisturbedTime);
 }
 
 void BackendDirectory::registryRestored(core::TimePoint now)
--- a/packages/decisions/tests/membership/registryoutagetest.cpp
+++ b/packages/decisions/tests/membership/registryoutagetest.cpp
@@ -200,4 +200,66 @@
     EXPECT_FALSE(registry.isUsed("a"));
 }
 
+// Connections that fell silent are no outage of the registry: the watch on one of them is lost, and the listing that
+// follows is right.
+TEST(RegistryOutage, removalDuringASilentWatchEndsUseWithinTheUndisturbedTime)
+{
+    const DirectorySettings settings;
+    FollowerSettings followerSettings;
+    followerSettings.minWatchInterval = 400ms;
+    FollowedRegistry registry(followerSettings);
+    registry.begin();
+    registry.add("a");
+    const auto silentSince = registry.now;
+    registry.beginSilence();
+    registry.advance(500ms);
+    registry.remove("a");
+    registry.advance(1500ms);
+    // New connections work all the time.
+    registry.endSilence();
+    registry.advance(silentSince + settings.undisturbedTime - registry.now);
+    EXPECT_FALSE(registry.isUsed("a"));
+}
+
+// The registry was cut off from this entry alone: a backend server that left meanwhile stayed in use for 2.5 s after
+// the first answer, which may come a second after the end of the cut.
+TEST(RegistryOutage, removalDuringAnOutageEndsUseWithinTheUndisturbedTimeAfterIt)
+{
+    const DirectorySettings settings;
+    for (auto length = 2500ms; length < 6000ms; length += 100ms) {
+        FollowedRegistry registry;
+        registry.begin();
+        registry.add("a");
+        registry.beginSilence();
+        registry.advance(length / 2);
+        registry.remove("a");
+        registry.advance(length - length / 2);
+        registry.endSilence();
+        registry.advance(settings.undisturbedTime);
+        EXPECT_FALSE(registry.isUsed("a")) << length.count();
+    }
+}
+
+// Registrations lapse while their backend servers cannot renew them; they are back within about two seconds.
+TEST(RegistryOutage, registrationThatLapsedInAnOutageKeepsItsBackendInUseUntilItIsBack)
+{
+    constexpr auto returnTime = 2000ms;
+    for (auto length = 3000ms; length < 9000ms; length += 100ms) {
+        FollowedRegistry registry;
+        registry.begin();
+        registry.add("a");
+        registry.beginSilence();
+        registry.advance(length);
+        registry.remove("a");
+        registry.endSilence();
+        for (auto time = 0ms; time < returnTime; time += 100ms) {
+            EXPECT_TRUE(registry.isUsed("a")) << length.count() << " ms, " << time.count() << " ms after";
+            registry.advance(100ms);
+        }
+        registry.add("a");
+        registry.advance(5s);
+        EXPECT_TRUE(registry.isUsed("a"));
+    }
+}
+
 } // namespace lycheelanding::decisions::membership
