An odd row in the list of VMs ends no process and hides no other row

From a report of other operators: another writer left one odd entry among those of the backend servers, and the machines that read the list ended again and again, or stopped following it. On our own interface both could happen: a row with a field of another type threw out of the handler of the listing and ended every entry and side at the first listing; a row with a number that the JSON parser refuses made the whole list unreadable while it stayed.

Rows are checked field by field and left out where one has another type; numbers that are too large are read as null.

--- a/packages/services/include/lycheelanding/services/vmlist.h
+++ b/packages/services/include/lycheelanding/services/vmlist.h
@@ -7,7 +7,9 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lycheelanding::services {
@@ -33,6 +35,9 @@
     std::string address;
 };
 
+/// Decodes a listing; nothing if it is none. Rows without an id, or with a field of another type, are left out.
+std::optional<std::vector<VmRow>> vmRowsFrom(std::string_view body);
+
 using VmListHandler = std::function<void(core::Result<std::vector<VmRow>>)>;
 
 template <typename Type>
--- a/packages/services/src/vmlist.cpp
+++ b/packages/services/src/vmlist.cpp
@@ -2,41 +2,104 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
 namespace lycheelanding::services {
 
 namespace {
 
 using Json = nlohmann::json;
 
+/// The text of a member, empty if it is missing; nothing if it has another type.
+std::optional<std::string> textOf(const Json &item, const char *name)
+{
+    const auto found = item.find(name);
+    if (found == item.end()) {
+        return std::string();
+    }
+    return found->is_string() ? std::optional(found->get<std::string>()) : std::nullopt;
+}
+
+std::optional<VmRow> rowFrom(const Json &item)
+{
+    if (!item.is_object()) {
+        return std::nullopt;
+    }
+    const auto id = textOf(item, "id");
+    const auto dataCentre = textOf(item, "dataCentre");
+    const auto role = textOf(item, "role");
+    const auto state = textOf(item, "state");
+    const auto address = textOf(item, "address");
+    if (!id || id->empty() || !dataCentre || !role || !state || !address) {
+        return std::nullopt;
+    }
+    VmRow row;
+    row.vm = core::VmId(*id);
+    row.dataCentre = core::DataCentreId(*dataCentre);
+    row.role = *role == "entry" ? VmRole::Entry : VmRole::Backend;
+    row.state = *state == "leaving" ? VmState::Leaving : VmState::Live;
+    row.address = *address;
+    return row;
+}
+
+/// The text with null in place of each number that no double can hold: the parser refuses the whole text for one.
+std::string withoutHugeNumbers(std::string_view text)
+{
+    constexpr std::string_view numberCharacters = "+-.0123456789Ee";
+    std::string result;
+    bool isInString = false;
+    while (!text.empty()) {
+        const auto end = isInString ? 0 : std::min(text.find_first_not_of(numberCharacters), text.size());
+        double value = 0.0;
+        if (end > 0 && std::from_chars(text.data(), text.data() + end, value).ec == std::errc::result_out_of_range) {
+            result.append("null");
+            text.remove_prefix(end);
+            continue;
+        }
+        const bool isEscape = isInString && text.front() == '\\';
+        isInString = isInString != (text.front() == '"');
+        const auto size = std::min<std::size_t>(std::max<std::size_t>(end, isEscape ? 2 : 1), text.size());
+        result.append(text.substr(0, size));
+        text.remove_prefix(size);
+    }
+    return result;
+}
+
 core::Result<std::vector<VmRow>> rowsFrom(const core::Result<http::HttpResponse> &result)
 {
     if (!core::isOk(result)) {
         return core::errorOf(result);
     }
-    const auto json = Json::parse(core::valueOf(result).body, nullptr, false);
-    if (!json.is_object() || !json.contains("vms") || !json["vms"].is_array()) {
+    auto rows = vmRowsFrom(core::valueOf(result).body);
+    if (!rows) {
         return core::Error{core::ErrorKind::PeerUnreachable, "the VM list cannot be read"};
     }
+    return std::move(*rows);
+}
+
+} // namespace
+
+std::optional<std::vector<VmRow>> vmRowsFrom(std::string_view body)
+{
+    auto json = Json::parse(body, nullptr, false);
+    if (json.is_discarded()) {
+        json = Json::parse(withoutHugeNumbers(body), nullptr, false);
+    }
+    const auto list = json.is_object() ? json.find("vms") : json.end();
+    if (list == json.end() || !list->is_array()) {
+        return std::nullopt;
+    }
     std::vector<VmRow> rows;
-    for (const auto &item : json["vms"]) {
-        if (!item.is_object()) {
-            continue;
-        }
-        VmRow row;
-        row.vm = core::VmId(item.value("id", ""));
-        row.dataCentre = core::DataCentreId(item.value("dataCentre", ""));
-        row.role = item.value("role", "") == "entry" ? VmRole::Entry : VmRole::Backend;
-        row.state = item.value("state", "") == "leaving" ? VmState::Leaving : VmState::Live;
-        row.address = item.value("address", "");
-        if (!row.vm.isEmpty()) {
-            rows.push_back(std::move(row));
+    for (const auto &item : *list) {
+        if (auto row = rowFrom(item)) {
+            rows.push_back(std::move(*row));
         }
     }
     return rows;
 }
 
-} // namespace
-
 HttpVmList::HttpVmList(http::HttpClient &client, std::string baseUrl) : m_client(client), m_baseUrl(std::move(baseUrl))
 { }
 
--- a/tests/integration/badinputtest.cpp
+++ b/tests/integration/badinputtest.cpp
@@ -17,6 +17,7 @@
 #include <future>
 #include <iterator>
 #include <optional>
+#include <thread>
 
 namespace lycheelanding::tests {
 
@@ -235,6 +236,21 @@
     }
 }
 
+// One row of another writer in the list of VMs ended every process that read the list.
+TEST_F(BadInput, oddRowsOfTheVmListEndNoProcess)
+{
+    constexpr std::chrono::milliseconds severalListings{1000};
+    for (const std::string row : {R"({"address":80})", R"({"state":null})", R"({"role":["backend"]})",
+                                  R"({"dataCentre":{"a":1}})", R"({"address":"127.0.0.1:99999"})"}) {
+        const auto answer = exchange(addressOf(m_deployment.vmListUrl()),
+                                     "PUT /control/vms/odd HTTP/1.1\r\nHost: list\r\nConnection: "
+                                     "close\r\nContent-Length: "
+                                         + std::to_string(row.size()) + "\r\n\r\n" + row);
+        ASSERT_EQ(answer.rfind("HTTP/1.1 200", 0), 0U) << answer;
+        std::this_thread::sleep_for(severalListings);
+    }
+}
+
 TEST_F(BadInputWithEngine, unreadStreamsDoNotBlockOtherCallers)
 {
     constexpr std::size_t count = 4; // Leaves capacity below the concurrency limit of the one engine.
