--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -46,6 +46,7 @@
     StoreFailures,
     StoreErasChanged,
     StoreAnswersOutsideEra,
+    RegistrationsUnreadable,
     // Membership and shutdown
     PeersLost,
     PeersDraining,
--- a/packages/report/src/counters.cpp
+++ b/packages/report/src/counters.cpp
@@ -67,6 +67,8 @@
     {Counter::StoreErasChanged, {"store_eras_changed", "Times that the store came back from an older copy"}},
     {Counter::StoreAnswersOutsideEra,
      {"store_answers_outside_era", "Answers of the store dropped as they are of no current era"}},
+    {Counter::RegistrationsUnreadable,
+     {"registrations_unreadable", "Registrations of backend servers that could not be read"}},
     {Counter::PeersLost, {"peers_lost", "Peers whose heartbeats ceased"}},
     {Counter::PeersDraining, {"peers_draining", "Peers that were seen to begin draining"}},
     {Counter::RequestsRefusedByDraining, {"requests_refused_by_draining", "Requests refused by a draining process"}},
