On a reused connection only an answer that names the request is taken as its answer

Cause: an answer that names no request counted as the answer to the request in progress on any connection. It is skipped now if the connection carried another request before, and a connection whose answer names no request is not reused. answerSkipped and answers_skipped_total show it. The answer handlers' check moved from ForwardedExchange to BackendAttempt, which knows the connection.

--- a/packages/forwarding/include/lycheelanding/forwarding/answerclass.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/answerclass.h
@@ -27,8 +27,13 @@
 /// Classifies an answer of a backend server by its head.
 AnswerClass classifyAnswer(const http::AnswerHead &head, const FieldNames &names);
 
-/// Whether the answer belongs to the attempt; an answer that names no attempt counts as belonging to it.
-bool isAnswerTo(const http::AnswerHead &head, const FieldNames &names, std::string_view attempt);
+/// Whether the answer names a request. One that does not may be a copy of an answer to an earlier request.
+bool namesRequest(const http::AnswerHead &head, const FieldNames &names);
+
+/// Whether the answer belongs to the attempt. One that names no request belongs to it only if the connection carried no
+/// other request before.
+bool isAnswerTo(const http::AnswerHead &head, const FieldNames &names, std::string_view attempt,
+                bool isReusedConnection);
 
 /// Whether the answer says that its backend server leaves.
 bool isLeaving(const http::AnswerHead &head, const FieldNames &names);
--- a/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
@@ -38,7 +38,8 @@
     /// Takes an idle connection to the backend server; false if there is none.
     bool takeIdleConnection();
     void connect(std::chrono::milliseconds timeout, std::function<void(const core::Status &)> onConnected);
-    /// `fields`: those of the request; the attempt adds the backend server's name.
+    /// `fields`: those of the request; the attempt adds the backend server's name. `handlers`: the attempt adds which
+    /// answers belong to the request.
     void send(const http::HttpRequest &request, ForwardedFields fields, http::AnswerHandlers handlers);
 
     void recordHead(http::AnswerHead head);
@@ -50,7 +51,7 @@
     void recordProgress(std::size_t parts, const decisions::quarantine::SharedFeatures &features);
     /// The connection was lost: the backend server may have crashed.
     void reportCrashSuspicion(decisions::quarantine::SharedFeatures features);
-    /// The answer is complete and its connection can be used again.
+    /// The answer is complete and its connection can carry another request.
     void releaseConnection();
     /// Closes the connection, which makes the backend server cancel the request.
     void end(Outcome outcome, core::TimePoint now);
@@ -63,6 +64,8 @@
     core::SystemClock m_clock;
     core::TimePoint m_sentAt;
     http::ClientConnectionPointer m_connection;
+    /// The connection carried other requests before.
+    bool m_isConnectionReused = false;
     AnswerClass m_answerClass = AnswerClass::Valid;
     http::AnswerHead m_head;
     std::size_t m_bodyParts = 0;
--- a/packages/forwarding/src/answerclass.cpp
+++ b/packages/forwarding/src/answerclass.cpp
@@ -54,10 +54,16 @@
     return head.status >= firstServerError ? AnswerClass::Failure : AnswerClass::Valid;
 }
 
-bool isAnswerTo(const http::AnswerHead &head, const FieldNames &names, std::string_view attempt)
+bool namesRequest(const http::AnswerHead &head, const FieldNames &names)
+{
+    return head.headers.find(names.attempt).has_value();
+}
+
+bool isAnswerTo(const http::AnswerHead &head, const FieldNames &names, std::string_view attempt,
+                bool isReusedConnection)
 {
     const auto named = head.headers.find(names.attempt);
-    return !named || *named == attempt;
+    return named ? *named == attempt : !isReusedConnection;
 }
 
 bool isLeaving(const http::AnswerHead &head, const FieldNames &names)
--- a/packages/forwarding/src/backendattempt.cpp
+++ b/packages/forwarding/src/backendattempt.cpp
@@ -20,7 +20,8 @@
 bool BackendAttempt::takeIdleConnection()
 {
     m_connection = m_resources.pool.acquire(m_reserved.backend.endpoint);
-    return m_connection != nullptr;
+    m_isConnectionReused = m_connection != nullptr;
+    return m_isConnectionReused;
 }
 
 void BackendAttempt::connect(std::chrono::milliseconds timeout, std::function<void(const core::Status &)> onConnected)
@@ -35,6 +36,20 @@
 {
     m_sentAt = m_clock.now();
     fields.expectedBackend = backend().text();
+    const auto name = request.headers.find(m_resources.names.attempt).value_or(std::string());
+    handlers.matchesRequest = [resources = m_resources, backend = backend().text(), name,
+                               isReused = m_isConnectionReused](const http::AnswerHead &head) {
+        const bool isOwn = isAnswerTo(head, resources.names, name, isReused);
+        if (!isOwn) {
+            resources.metrics.increment(report::Counter::AnswersSkipped);
+            resources.log.write(LogImportance::Request, "answerSkipped",
+                                {{"request", name},
+                                 {"backend", backend},
+                                 {"status", static_cast<std::int64_t>(head.status)},
+                                 {"names", head.headers.find(resources.names.attempt).value_or(std::string())}});
+        }
+        return isOwn;
+    };
     m_connection->send(forwardedRequest(request, fields, m_resources.names), request.method == "HEAD",
                        std::move(handlers));
 }
@@ -86,7 +101,8 @@
 
 void BackendAttempt::releaseConnection()
 {
-    if (m_resources.backends.isInUse(m_reserved.backend.endpoint)) {
+    // Without names, a copy of this answer could not be told from the answer to the next request.
+    if (namesRequest(m_head, m_resources.names) && m_resources.backends.isInUse(m_reserved.backend.endpoint)) {
         m_resources.pool.release(m_connection);
         m_connection.reset();
     }
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -190,9 +190,6 @@
 {
     const auto self = shared_from_this();
     http::AnswerHandlers handlers;
-    handlers.matchesRequest = [self](const http::AnswerHead &head) {
-        return isAnswerTo(head, self->m_resources.names, self->m_attemptName);
-    };
     handlers.expectsEventStream = m_terms.route->kind == RouteKind::Stream;
     handlers.onHead = [self, attempt](http::AnswerHead head) { self->onHead(attempt, std::move(head)); };
     handlers.onBody = [self, attempt](std::string_view bytes) { self->onBody(attempt, bytes); };
--- a/packages/forwarding/tests/hostilepeerstest.cpp
+++ b/packages/forwarding/tests/hostilepeerstest.cpp
@@ -110,6 +110,52 @@
     EXPECT_EQ(backend.connectionCount(), 2U);
 }
 
+// A faulty backend server wrote an earlier refusal once more, without the name of a request, when the next request on
+// the connection had arrived. It was taken as the answer to that request: the request ran and its caller was told that
+// it had not, or it ran at a second backend server too.
+TEST(HostileBackend, refusalThatNamesNoRequestIsSkippedOnAReusedConnection)
+{
+    for (const std::string refusal :
+         {"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRetry-After: 600\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 429 Too Many Requests\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 503 Service Unavailable\r\nLeaving: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}) {
+        EntrySimulation simulation;
+        simulation.configure(RouteKind::NonIdempotent);
+        bool isFaulty = false;
+        int requestCount = 0;
+        const auto script = [&](const std::string &) {
+            ++requestCount;
+            return ScriptedResponse{(isFaulty ? refusal : "") + backendAnswer("ran")};
+        };
+        const std::array backends{&simulation.addBackend(script), &simulation.addBackend(script)};
+        const auto connectionCount
+            = [&backends] { return backends[0]->connectionCount() + backends[1]->connectionCount(); };
+        for (int number = 0; number < 20 && connectionCount() < backends.size(); ++number) {
+            simulation.exchange(callerRequest("POST", "fee=1"));
+        }
+        ASSERT_EQ(connectionCount(), backends.size());
+        isFaulty = true;
+        requestCount = 0;
+        EXPECT_TRUE(simulation.exchange(callerRequest("POST", "fee=1")).ends_with("\r\n\r\nran")) << refusal;
+        EXPECT_EQ(requestCount, 1) << refusal;
+        EXPECT_TRUE(simulation.reportedLeaving.empty()) << refusal;
+    }
+}
+
+// Answers that name no request cannot be told apart from copies of earlier ones.
+TEST(HostileBackend, connectionWhoseAnswerNamesNoRequestIsNotReused)
+{
+    EntrySimulation simulation;
+    simulation.configure(RouteKind::Idempotent);
+    auto &backend = simulation.addBackend(always({backendAnswer("ok", "Proof: p\r\n")}));
+    for (int number = 0; number < 3; ++number) {
+        EXPECT_TRUE(hasStatus(simulation.exchange(callerRequest("GET")), 200));
+    }
+    EXPECT_EQ(backend.connectionCount(), 3U);
+}
+
 TEST(HostileBackend, extraAnswerIsDiscarded)
 {
     EntrySimulation simulation;
--- a/packages/http/src/clientconnection.cpp
+++ b/packages/http/src/clientconnection.cpp
@@ -285,7 +285,7 @@
     answer.bodyBytes = contentLength(answer.headers);
     answer.framing = m_isHeadRequest ? BodyFraming::NoBody : bodyFramingOf(answer.status, answer.headers);
     m_isInterim = answer.status < firstFinalStatus && answer.status != switchingProtocols;
-    m_matchesRequest = !m_handlers.matchesRequest || m_handlers.matchesRequest(answer);
+    m_matchesRequest = !m_isInterim && (!m_handlers.matchesRequest || m_handlers.matchesRequest(answer));
     if (m_isInterim && ++m_interimAnswers > m_limits.maxInterimAnswers) {
         failMalformed("too many interim answers");
         return true;
--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -27,6 +27,7 @@
     AnswersComplete,
     AnswersBroken,
     AnswersMalformed,
+    AnswersSkipped,
     FramesOfUnknownRequests,
     FramesMalformed,
     AnswerChecksumMismatches,
--- a/packages/report/src/counters.cpp
+++ b/packages/report/src/counters.cpp
@@ -49,6 +49,8 @@
     {Counter::AnswersComplete, {"answers_complete", "Answers with final frame, chunk count and checksum in order"}},
     {Counter::AnswersBroken, {"answers_broken", "Answers that ended without their final frame"}},
     {Counter::AnswersMalformed, {"answers_malformed", "Answers of backend servers that broke the protocol or a limit"}},
+    {Counter::AnswersSkipped,
+     {"answers_skipped", "Answers of backend servers that belonged to no request in progress"}},
     {Counter::FramesOfUnknownRequests, {"frames_of_unknown_requests", "Frames dropped as their request is unknown"}},
     {Counter::FramesMalformed, {"frames_malformed", "Frames that could not be read"}},
     {Counter::AnswerChecksumMismatches, {"answer_checksum_mismatches", "Answers with a wrong checksum or count"}},
