Only an event stream of the same status continues a stream that has begun

Cause: any success without a length could go on with the stream. The status that the caller has seen and the content type are compared now; other answers are lost attempts.

BrokenStreams.answerThatIsNoStreamDoesNotContinueTheStream (4 of 15 kinds of second answers) and .streamGoesOnAfterAnErrorOfTheNextBackend failed before.

--- a/packages/forwarding/include/lycheelanding/forwarding/calleranswer.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/calleranswer.h
@@ -25,8 +25,9 @@
     void setStream(bool isResumable);
     /// Starts another attempt: discards what has not been sent to the caller.
     void restart();
-    /// Whether an answer with this head can continue what the caller has received.
-    bool canContinueWith(const http::AnswerHead &head) const { return !m_hasBegun || isResumableStream(head); }
+    /// Whether an answer with this head can continue what the caller has received: an event stream with the same
+    /// status. The text of anything else would become a part of the stream, or its end the end of the stream.
+    bool canContinueWith(const http::AnswerHead &head) const;
     /// Appends a part of the body and forwards what may be sent already. Returns whether the answer has progressed: in
     /// a stream, whether an event has ended that the caller did not have.
     bool append(const http::AnswerHead &head, std::string_view bytes);
@@ -58,6 +59,8 @@
     const http::HttpExchangePointer m_exchange;
     bool m_isStream = false;
     bool m_hasBegun = false;
+    /// Status that the caller has received.
+    int m_status = 0;
     std::optional<EventStreamParser> m_events;
     std::string m_held;
 };
--- a/packages/forwarding/src/calleranswer.cpp
+++ b/packages/forwarding/src/calleranswer.cpp
@@ -1,5 +1,7 @@
 #include "lycheelanding/forwarding/calleranswer.h"
 
+#include "lycheelanding/http/eventstreamscanner.h"
+
 #include <cstddef>
 #include <utility>
 
@@ -38,6 +40,15 @@
     return m_events && head.status < firstRedirect && !head.bodyBytes;
 }
 
+bool CallerAnswer::canContinueWith(const http::AnswerHead &head) const
+{
+    if (!m_hasBegun) {
+        return true;
+    }
+    const bool isOtherContent = head.headers.find("Content-Type") && !http::isEventStream(head.headers);
+    return isResumableStream(head) && head.status == m_status && !isOtherContent;
+}
+
 bool CallerAnswer::append(const http::AnswerHead &head, std::string_view bytes)
 {
     if (isResumableStream(head)) {
@@ -73,6 +84,7 @@
         return;
     }
     if (!std::exchange(m_hasBegun, true)) {
+        m_status = head.status;
         if (head.bodyBytes) {
             m_exchange->startWithContentLength(head.status, head.headers, *head.bodyBytes);
         } else {
--- a/packages/forwarding/tests/brokenstreamstest.cpp
+++ b/packages/forwarding/tests/brokenstreamstest.cpp
@@ -254,6 +254,69 @@
     EXPECT_FALSE(stream.answer.ends_with(lastChunk));
 }
 
+// The text of an error, or an empty answer of another status, was taken as the rest of a stream that another backend
+// server had begun: callers got the text in the middle of their stream, and the stream looked complete.
+TEST(BrokenStreams, answerThatIsNoStreamDoesNotContinueTheStream)
+{
+    const std::string fields = "Proof: second\r\nAttempt: 77\r\n";
+    const std::string json = fields + "Content-Type: application/json\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n" + chunk("oops") + lastChunk;
+    const std::string withLength = "Content-Length: 4\r\n\r\noops";
+    for (const std::string &next : {
+             "HTTP/1.1 200 OK\r\n" + json + chunked,
+             "HTTP/1.1 200 OK\r\n" + json + "\r\noops\n\n",
+             "HTTP/1.1 200 OK\r\n" + json + withLength,
+             "HTTP/1.1 200 OK\r\n" + fields + withLength,
+             "HTTP/1.1 202 Accepted\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + lastChunk,
+             "HTTP/1.1 204 No Content\r\n" + fields + "\r\n",
+             "HTTP/1.1 302 Found\r\n" + fields + chunked,
+             "HTTP/1.1 400 Bad Request\r\n" + fields + withLength,
+             "HTTP/1.1 404 Not Found\r\n" + fields + chunked,
+             "HTTP/1.1 421 Misdirected Request\r\n" + withLength,
+             "HTTP/1.1 429 Too Many Requests\r\nNot-Run: 1\r\n" + withLength,
+             "HTTP/1.1 500 Internal Server Error\r\n" + fields + chunked,
+             "HTTP/1.1 500 Internal Server Error\r\n" + json + "\r\noops\n\n",
+             "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRetry-After: 1\r\n" + withLength,
+             "HTTP/1.1 503 Service Unavailable\r\n" + withLength,
+         }) {
+        const StreamSimulation stream({firstHead + chunk(event(1) + event(2) + "id: 3\nda"), true}, {next, true});
+        EXPECT_EQ(stream.requestCount, 2) << next;
+        EXPECT_TRUE(stream.answer.starts_with("HTTP/1.1 200 ")) << stream.answer;
+        EXPECT_TRUE(stream.answer.ends_with("data: part2\n\n\r\n")) << next << stream.answer;
+        EXPECT_EQ(countOf(stream.answer, "HTTP/1.1"), 1U) << next << stream.answer;
+        EXPECT_EQ(stream.answer.find("oops"), std::string::npos) << next;
+    }
+}
+
+// The same, where a further backend server completes the stream.
+TEST(BrokenStreams, streamGoesOnAfterAnErrorOfTheNextBackend)
+{
+    for (const std::string error :
+         {"HTTP/1.1 500 Internal Server Error\r\nProof: second\r\nAttempt: 77\r\nContent-Length: 4\r\n\r\noops",
+          "HTTP/1.1 200 OK\r\nProof: second\r\nAttempt: 77\r\nContent-Type: text/plain\r\n\r\noops\n\n"}) {
+        EntrySimulation simulation;
+        simulation.configure(RouteKind::Stream, std::chrono::seconds(10), 3);
+        int requestCount = 0;
+        for (int backend = 0; backend < 3; ++backend) {
+            simulation.addBackend([&requestCount, &error](const std::string &) {
+                switch (++requestCount) {
+                case 1:
+                    return ScriptedResponse{firstHead + chunk(event(1)), true};
+                case 2:
+                    return ScriptedResponse{error, true};
+                default:
+                    return ScriptedResponse{secondHead + chunk(event(2) + event(3)) + lastChunk};
+                }
+            });
+        }
+        const auto answer = simulation.exchange(callerRequest("POST", "prompt"));
+        EXPECT_EQ(requestCount, 3);
+        EXPECT_EQ(answer.find("oops"), std::string::npos) << answer;
+        EXPECT_EQ(countOf(answer, "data: part"), 3U) << answer;
+        EXPECT_TRUE(answer.ends_with(lastChunk)) << answer;
+    }
+}
+
 TEST(BrokenStreams, nonResumableStreamIsAborted)
 {
     const StreamSimulation stream({firstHead + chunk(event(1) + "id: 2"), true}, {secondHead + lastChunk}, false);
