A rank that leaves its group in mid-switch does not end the leader's process

Callers lost the leader of a group: its side ended by an exception when a rank reported another group, or a rank number outside the group, while a map switch was in progress.

Cause: the switch went on with a rank that was no member any more. A removed member ends the switch now, and ranks outside the size of their group are ignored.

GroupLeaderTest.rankThatLeavesTheGroupInMidSwitchDoesNotEndTheLeader and .rankOutsideTheGroupIsIgnored failed before.

--- a/packages/rankgroups/include/lycheelanding/rankgroups/groupleader.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/groupleader.h
@@ -65,6 +65,9 @@
         core::TimePoint lastContact;
     };
 
+    /// Removes the members with this IP number but `rank`.
+    void removeOtherRanks(const std::string &ip, std::optional<core::RankIndex> rank);
+    void endSwitch();
     void createSwitchIfReady(core::TimePoint now, LeaderActions &actions);
     std::optional<decisions::experts::ExpertMap> currentMap() const;
     void planIfDue(core::TimePoint now, LeaderActions &actions);
--- a/packages/rankgroups/src/groupleader.cpp
+++ b/packages/rankgroups/src/groupleader.cpp
@@ -32,7 +32,8 @@
     return m_members.size() == first.groupSize
         && std::all_of(m_members.begin(), m_members.end(), [&](const auto &item) {
                const auto &member = item.second;
-               return member.report.isOpen && member.report.state.generation == first.state.generation
+               return member.report.isOpen && member.report.groupSize == first.groupSize
+                   && member.report.state.generation == first.state.generation
                    && now - member.lastContact < maxStatusAge;
            });
 }
@@ -40,11 +41,12 @@
 LeaderActions GroupLeader::statusReceived(const std::string &ip, const RankStatus &status, core::TimePoint now)
 {
     LeaderActions actions;
-    if (status.report.group != m_group) {
-        std::erase_if(m_members, [&ip](const auto &item) { return item.second.ip == ip; });
+    const auto rank = status.report.rank;
+    const bool isMember = status.report.group == m_group && rank.number() < status.report.groupSize;
+    removeOtherRanks(ip, isMember ? std::optional(rank) : std::nullopt);
+    if (!isMember) {
         return actions;
     }
-    const auto rank = status.report.rank;
     Member &member = m_members[rank];
     const bool isUnchanged = member.ip == ip && member.report.state.generation == status.report.state.generation;
     member.ip = ip;
@@ -57,8 +59,7 @@
     }
     if (m_switch && (!isUnchanged || !status.report.isOpen)) {
         // Engines lose their maps, armed steps and holds when the group forms again.
-        m_switch.reset();
-        m_planner.reset();
+        endSwitch();
     }
     if (!m_switch) {
         createSwitchIfReady(now, actions);
@@ -69,6 +70,22 @@
     return actions;
 }
 
+void GroupLeader::removeOtherRanks(const std::string &ip, std::optional<core::RankIndex> rank)
+{
+    const auto removed = std::erase_if(
+        m_members, [&ip, &rank](const auto &item) { return item.second.ip == ip && item.first != rank; });
+    if (removed > 0) {
+        // A switch commands all ranks that its group had when it began.
+        endSwitch();
+    }
+}
+
+void GroupLeader::endSwitch()
+{
+    m_switch.reset();
+    m_planner.reset();
+}
+
 LeaderActions GroupLeader::countsReported(const std::string &ip, const CountsReport &report, core::TimePoint now)
 {
     LeaderActions actions;
--- a/packages/rankgroups/tests/groupleadertest.cpp
+++ b/packages/rankgroups/tests/groupleadertest.cpp
@@ -60,7 +60,31 @@
         ++m_step;
     }
 
+    /// Sends a status of another group from the VM of the rank.
+    void leaveGroup(std::size_t rank)
+    {
+        auto status = statusOf(rank, core::MapVersion(5));
+        status.report.group = core::GroupId("other");
+        execute(m_leader.statusReceived(ipOf(rank), status, m_now));
+    }
+
+    /// Sends a status from the VM of `rank` that gives another rank.
+    void sendOtherRank(std::size_t rank, std::uint64_t other)
+    {
+        auto status = statusOf(rank, core::MapVersion(5));
+        status.report.rank = core::RankIndex(other);
+        execute(m_leader.statusReceived(ipOf(rank), status, m_now));
+    }
+
+    void tick()
+    {
+        m_now += 100ms;
+        execute(m_leader.tick(m_now));
+    }
+
     int begunSwitches = 0;
+    /// Whether engines answer the commands.
+    bool hasAnswers = true;
 
 private:
     static std::string ipOf(std::size_t rank) { return "10.1.0." + std::to_string(rank + 1); }
@@ -88,7 +112,7 @@
     void execute(const LeaderActions &actions)
     {
         for (const auto &action : actions) {
-            if (const auto *command = std::get_if<CommandEngine>(&action)) {
+            if (const auto *command = std::get_if<CommandEngine>(&action); command != nullptr && hasAnswers) {
                 execute(m_leader.answered(command->ip, command->number, CommandAnswer::Done, m_now));
             } else if (const auto *event = std::get_if<MapSwitchEvent>(&action)) {
                 begunSwitches += event->event == "mapSwitchBegun" ? 1 : 0;
@@ -134,4 +158,65 @@
     EXPECT_EQ(group.begunSwitches, 1);
 }
 
+// The leader still sent commands to the rank, found no member for it, and its process ended.
+TEST(GroupLeaderTest, rankThatLeavesTheGroupInMidSwitchDoesNotEndTheLeader)
+{
+    LedGroup group;
+    for (std::size_t rank = 0; rank < ranks; ++rank) {
+        group.sendHeldExperts(rank, core::MapVersion(5));
+    }
+    while (group.begunSwitches == 0) {
+        group.hasAnswers = false;
+        group.sendCounts(core::MapVersion(5));
+    }
+    group.leaveGroup(2);
+    for (int round = 0; round < 200; ++round) {
+        EXPECT_NO_THROW(group.tick());
+    }
+    // It is back, and the group switches as before.
+    group.hasAnswers = true;
+    for (std::size_t rank = 0; rank < ranks; ++rank) {
+        group.sendHeldExperts(rank, core::MapVersion(5));
+    }
+    for (int round = 0; round < 20; ++round) {
+        group.sendCounts(core::MapVersion(5));
+    }
+    EXPECT_EQ(group.begunSwitches, 2);
+}
+
+// A report with a rank outside the group ended the process of the leader, or kept the group from being led.
+TEST(GroupLeaderTest, rankOutsideTheGroupIsIgnored)
+{
+    for (const std::uint64_t other : {std::uint64_t(ranks), std::uint64_t(1) << 40U, ~std::uint64_t(0)}) {
+        LedGroup group;
+        for (std::size_t rank = 0; rank + 1 < ranks; ++rank) {
+            group.sendHeldExperts(rank, core::MapVersion(5));
+        }
+        EXPECT_NO_THROW(group.sendOtherRank(ranks - 1, other));
+        for (int round = 0; round < 20; ++round) {
+            EXPECT_NO_THROW(group.tick());
+        }
+        group.sendHeldExperts(ranks - 1, core::MapVersion(5));
+        for (int round = 0; round < 20; ++round) {
+            group.sendCounts(core::MapVersion(5));
+        }
+        EXPECT_EQ(group.begunSwitches, 1) << other;
+    }
+}
+
+// A VM whose engine gets another rank was kept as a member under both.
+TEST(GroupLeaderTest, rankThatChangesIsNotAMemberTwice)
+{
+    LedGroup group;
+    group.sendOtherRank(0, 1);
+    group.sendOtherRank(1, 0);
+    for (std::size_t rank = 0; rank < ranks; ++rank) {
+        group.sendHeldExperts(rank, core::MapVersion(5));
+    }
+    for (int round = 0; round < 20; ++round) {
+        group.sendCounts(core::MapVersion(5));
+    }
+    EXPECT_EQ(group.begunSwitches, 1);
+}
+
 } // namespace lycheelanding::rankgroups
