A registration for a service that does not exist takes no backend server out of use

The directory learns the services with each configuration, and keeps registrations for others aside until their service exists.

BackendDirectory.registrationForAnUnknownServiceReplacesNoBackendAtItsAddress: without the services the directory replaces the backend server, as .laterRegistrationAtOneAddressReplacesTheEarlierOne asks for known ones. .backendIsUsableOnceItsServiceExists guards the order in which configuration and registrations arrive.

--- a/packages/decisions/include/lycheelanding/decisions/membership/backenddirectory.h
+++ b/packages/decisions/include/lycheelanding/decisions/membership/backenddirectory.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -62,6 +63,8 @@
     Replaced,
     /// It has said in an answer that it leaves.
     Leaving,
+    /// No service has the name in its registration.
+    UnknownService,
 };
 
 std::string_view nameOf(DirectoryReason reason);
@@ -100,6 +103,9 @@
     /// All readable registrations of the registry.
     DirectoryChanges listed(const std::vector<RegisteredBackend> &backends, core::TimePoint now);
     DirectoryChanges registered(const RegisteredBackend &backend, core::TimePoint now);
+    /// The services that exist; none are known before the first call. A registration for another one names no backend
+    /// server until its service exists.
+    DirectoryChanges servicesChanged(std::set<core::ServiceId> services, core::TimePoint now);
     /// The key of `id` no longer holds a readable registration.
     DirectoryChanges unreadable(const BackendId &id, core::TimePoint now);
     DirectoryChanges removed(const BackendId &id, core::TimePoint now);
@@ -133,6 +139,7 @@
         bool isDoubtful = false;
     };
 
+    bool isServiceKnown(const RegisteredBackend &backend) const;
     bool isAwaitingReregistrations(core::TimePoint now) const;
     /// Whether the registration is one of a backend server that has left. `isWritten`: it was written just now, not
     /// read from the restored copy.
@@ -146,7 +153,10 @@
     void removeMember(const BackendId &id, DirectoryReason reason, core::TimePoint now, DirectoryChanges &changes);
 
     const DirectorySettings m_settings;
+    std::optional<std::set<core::ServiceId>> m_services;
     std::map<BackendId, Member> m_members;
+    /// Registrations for services that do not exist.
+    std::map<BackendId, RegisteredBackend> m_ofUnknownServices;
     std::map<BackendId, Departed> m_departed;
     /// Until then a missing registration may have lapsed during an outage of the registry.
     std::optional<core::TimePoint> m_reregistrationEnd;
--- a/packages/decisions/src/membership/backenddirectory.cpp
+++ b/packages/decisions/src/membership/backenddirectory.cpp
@@ -5,12 +5,13 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <utility>
 
 namespace lycheelanding::decisions::membership {
 
 namespace {
 
-constexpr std::array<core::NameEntry<DirectoryReason>, 7> reasonNames{{
+constexpr std::array<core::NameEntry<DirectoryReason>, 8> reasonNames{{
     {DirectoryReason::Registered, "registered"},
     {DirectoryReason::Draining, "draining"},
     {DirectoryReason::Removed, "removed"},
@@ -18,6 +19,7 @@
     {DirectoryReason::Unreadable, "unreadable"},
     {DirectoryReason::Replaced, "replaced"},
     {DirectoryReason::Leaving, "leaving"},
+    {DirectoryReason::UnknownService, "unknownService"},
 }};
 
 /// Whether `known` registered at its address after `other`, which names the same one.
@@ -37,6 +39,7 @@
 DirectoryChanges BackendDirectory::listed(const std::vector<RegisteredBackend> &backends, core::TimePoint now)
 {
     DirectoryChanges changes;
+    m_ofUnknownServices.clear();
     std::set<BackendId> present;
     for (const auto &backend : backends) {
         present.insert(backend.id);
@@ -61,9 +64,29 @@
     return changes;
 }
 
+DirectoryChanges BackendDirectory::servicesChanged(std::set<core::ServiceId> services, core::TimePoint now)
+{
+    DirectoryChanges changes;
+    m_services = std::move(services);
+    std::vector<RegisteredBackend> waiting;
+    for (const auto &[id, backend] : m_ofUnknownServices) {
+        waiting.push_back(backend);
+    }
+    for (const auto &[id, member] : m_members) {
+        waiting.push_back(member.backend);
+    }
+    for (const auto &backend : waiting) {
+        if (isServiceKnown(backend) != m_members.contains(backend.id)) {
+            applyRegistration(backend, false, now, changes);
+        }
+    }
+    return changes;
+}
+
 DirectoryChanges BackendDirectory::unreadable(const BackendId &id, core::TimePoint now)
 {
     DirectoryChanges changes;
+    m_ofUnknownServices.erase(id);
     removeMember(id, DirectoryReason::Unreadable, now, changes);
     return changes;
 }
@@ -71,6 +94,7 @@
 DirectoryChanges BackendDirectory::removed(const BackendId &id, core::TimePoint now)
 {
     DirectoryChanges changes;
+    m_ofUnknownServices.erase(id);
     markMissing(id, now, changes);
     return changes;
 }
@@ -84,8 +108,9 @@
 
 void BackendDirectory::registryRegained(const RegistryOutage &outage, core::TimePoint now)
 {
-    // Registrations lapse after three heartbeat intervals of silence, and the last heartbeat is at most one interval old
-    // when the registry goes away. In a shorter time without answers, such as that of a watch that was cut, none lapses.
+    // Registrations lapse after three heartbeat intervals of silence, and the last heartbeat is at most one interval
+    // old when the registry goes away. In a shorter time without answers, such as that of a watch that was cut, none
+    // lapses.
     constexpr int intervalsOfShortestLapse = 2;
     if (now - outage.lastContact < intervalsOfShortestLapse * m_settings.heartbeatInterval) {
         return;
@@ -127,6 +152,11 @@
     return m_members.size();
 }
 
+bool BackendDirectory::isServiceKnown(const RegisteredBackend &backend) const
+{
+    return !m_services || m_services->contains(backend.service);
+}
+
 bool BackendDirectory::isAwaitingReregistrations(core::TimePoint now) const
 {
     return m_reregistrationEnd && now < *m_reregistrationEnd;
@@ -153,6 +183,12 @@
 void BackendDirectory::applyRegistration(const RegisteredBackend &backend, bool isWritten, core::TimePoint now,
                                          DirectoryChanges &changes)
 {
+    m_ofUnknownServices.erase(backend.id);
+    if (!isServiceKnown(backend)) {
+        m_ofUnknownServices.insert_or_assign(backend.id, backend);
+        removeMember(backend.id, DirectoryReason::UnknownService, now, changes);
+        return;
+    }
     if (backend.isDraining) {
         removeMember(backend.id, DirectoryReason::Draining, now, changes);
         auto &departed = m_departed[backend.id];
--- a/packages/decisions/tests/membership/backenddirectorytest.cpp
+++ b/packages/decisions/tests/membership/backenddirectorytest.cpp
@@ -163,6 +163,42 @@
     EXPECT_TRUE(isUnusable(directory.listed({drainingNamed("a")}, start + 5s), "a", DirectoryReason::Draining));
 }
 
+// A registration of another writer, for a service that does not exist, took the place of the backend server that has
+// the same address.
+TEST(BackendDirectory, registrationForAnUnknownServiceReplacesNoBackendAtItsAddress)
+{
+    BackendDirectory directory({});
+    directory.servicesChanged({core::ServiceId("drafts")}, start);
+    auto sound = backendNamed("a");
+    sound.revision = 10;
+    auto odd = backendNamed("b");
+    odd.service = core::ServiceId("nowhere");
+    odd.address = sound.address;
+    odd.revision = 20;
+    odd.startedAtMs = 9000;
+    EXPECT_EQ(directory.listed({sound, odd}, start).size(), 1U);
+    EXPECT_TRUE(directory.registered(odd, start).empty());
+    EXPECT_EQ(directory.usableCount(), 1U);
+    EXPECT_TRUE(isUnusable(directory.removed(BackendId("a"), start), "a", DirectoryReason::Removed));
+}
+
+// Registrations and the configuration are read independently.
+TEST(BackendDirectory, backendIsUsableOnceItsServiceExists)
+{
+    BackendDirectory directory({});
+    auto early = backendNamed("a");
+    early.service = core::ServiceId("quotes");
+    EXPECT_EQ(directory.listed({early, backendNamed("b")}, start).size(), 2U);
+    EXPECT_TRUE(isUnusable(directory.servicesChanged({core::ServiceId("drafts")}, start), "a",
+                           DirectoryReason::UnknownService));
+    EXPECT_EQ(directory.servicesChanged({core::ServiceId("drafts"), core::ServiceId("quotes")}, start).size(), 1U);
+    EXPECT_EQ(directory.usableCount(), 2U);
+    directory.servicesChanged({core::ServiceId("drafts")}, start);
+    directory.removed(BackendId("a"), start);
+    EXPECT_TRUE(directory.servicesChanged({core::ServiceId("quotes"), core::ServiceId("drafts")}, start).empty());
+    EXPECT_EQ(directory.usableCount(), 1U);
+}
+
 TEST(BackendDirectory, changedRegistrationIsReportedAgain)
 {
     BackendDirectory directory({});
