A hold or an arm counts as done only if the engine's report shows it

The leader decides a switch on "done" of all ranks, and ranks could begin a step with different maps (MAP).

CommandExecutorTest.acknowledgedHoldOrArmThatTheReportDoesNotShowIsNotDone fails without it.

--- a/packages/rankgroups/include/lycheelanding/rankgroups/commandexecutor.h
+++ b/packages/rankgroups/include/lycheelanding/rankgroups/commandexecutor.h
@@ -31,7 +31,8 @@
     CommandExecutor(const EngineInterface &engine, const asio::ip::tcp::endpoint &endpoint, std::string ip,
                     forwarding::EventLog &log);
 
-    /// `onReply` is not called if the engine does not answer.
+    /// `onReply` is not called if the engine does not answer, or if its report does not show that a hold or an arm
+    /// which it has acknowledged is in effect.
     void executeOrder(const CommandOrder &order, std::function<void(const CommandReply &)> onReply);
     void execute(const EngineCommandRequest &command,
                  std::function<void(decisions::mapswitch::CommandAnswer)> onAnswer);
@@ -42,6 +43,9 @@
     core::TimePoint lastOrder() const { return m_lastOrder; }
 
 private:
+    /// Reads the engine's report, and answers None unless the command is in effect.
+    void confirm(const decisions::mapswitch::EngineCommand &command,
+                 std::function<void(decisions::mapswitch::CommandAnswer)> onAnswer);
     void recordInstalledFencingToken(const EngineCommandRequest &command, decisions::mapswitch::CommandAnswer answer);
 
     const EngineInterface &m_engine;
--- a/packages/rankgroups/src/commandexecutor.cpp
+++ b/packages/rankgroups/src/commandexecutor.cpp
@@ -8,6 +8,28 @@
 using namespace decisions::mapswitch;
 using forwarding::LogImportance;
 
+namespace {
+
+/// A switch begins once all ranks hold, and ends once all are armed: a wrong "done" would let ranks begin a step with
+/// different maps. Answers of engines do not name their command, so one may be a copy of the answer to an earlier one.
+bool needsConfirmation(CommandKind kind)
+{
+    return kind == CommandKind::Hold || kind == CommandKind::Arm;
+}
+
+bool isInEffect(const EngineCommand &command, const RankState &state)
+{
+    if (state.generation != command.generation) {
+        return false;
+    }
+    if (command.kind == CommandKind::Hold) {
+        return state.held == command.step;
+    }
+    return state.armed == MapActivation{command.map, command.step} || state.map == command.map;
+}
+
+} // namespace
+
 void logCommand(forwarding::EventLog &log, std::string_view event, const std::string &ip, const EngineCommand &command,
                 CommandAnswer answer)
 {
@@ -53,10 +75,25 @@
 {
     m_engine.command(m_endpoint, command, [this, command, onAnswer = std::move(onAnswer)](CommandAnswer answer) {
         recordInstalledFencingToken(command, answer);
+        if (answer == CommandAnswer::Done && needsConfirmation(command.command.kind)) {
+            confirm(command.command, onAnswer);
+            return;
+        }
         onAnswer(answer);
     });
 }
 
+void CommandExecutor::confirm(const EngineCommand &command, std::function<void(CommandAnswer)> onAnswer)
+{
+    m_engine.readReport(m_endpoint, [this, command, onAnswer = std::move(onAnswer)](const auto &report) {
+        const bool isConfirmed = report && isInEffect(command, report->state);
+        if (!isConfirmed) {
+            logCommand(m_log, "commandUnconfirmed", m_ip, command, CommandAnswer::Done);
+        }
+        onAnswer(isConfirmed ? CommandAnswer::Done : CommandAnswer::None);
+    });
+}
+
 void CommandExecutor::recordInstalledFencingToken(const EngineCommandRequest &command, CommandAnswer answer)
 {
     const bool isAcknowledged = answer == CommandAnswer::Done || answer == CommandAnswer::Conflict;
