--- a/tests/integration/badinputtest.cpp
+++ b/tests/integration/badinputtest.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <future>
@@ -251,6 +252,18 @@
     }
 }
 
+// SIGHUP, which a closed terminal or a script for another daemon sends, ended entries and sides without a drain.
+TEST_F(BadInput, hangupSignalEndsNoProcess)
+{
+    for (const auto &entry : m_deployment.entries()) {
+        ::kill(entry.process->pid(), SIGHUP);
+    }
+    for (const auto &side : m_deployment.sides()) {
+        ::kill(side.process->pid(), SIGHUP);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+}
+
 TEST_F(BadInputWithEngine, unreadStreamsDoNotBlockOtherCallers)
 {
     constexpr std::size_t count = 4; // Leaves capacity below the concurrency limit of the one engine.
