HTTP client: a request that went out on a reused connection is not reported as unsent

PeerUnreachable says that no byte was sent. HttpClient.requestThatWentOutOnAReusedConnectionIsNotReportedAsUnsent failed before.

--- a/packages/http/src/private/httptransfer.cpp
+++ b/packages/http/src/private/httptransfer.cpp
@@ -96,7 +96,10 @@
             return;
         }
         if (!core::isOk(status)) {
-            self->finish(core::errorOf(status));
+            // The request may have arrived on the connection that was tried before.
+            const auto &error = core::errorOf(status);
+            self->finish(self->m_wasSent ? self->transferError(core::ErrorKind::BackendServerLost, error.detail)
+                                         : error);
             return;
         }
         self->send(self->m_connection, false);
--- a/packages/http/tests/httpclienttest.cpp
+++ b/packages/http/tests/httpclienttest.cpp
@@ -28,6 +28,7 @@
     RawListener() : m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0}) { }
 
     asio::ip::tcp::socket accept() { return m_acceptor.accept(); }
+    void close() { m_acceptor.close(); }
     std::string url() const { return "http://127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()) + "/"; }
 
 private:
@@ -209,6 +210,28 @@
     EXPECT_EQ(kindOf(second.get_future().get()), ErrorKind::BackendServerLost);
 }
 
+// The error said that no byte was sent, although the request had gone out on the reused connection before.
+TEST(HttpClient, requestThatWentOutOnAReusedConnectionIsNotReportedAsUnsent)
+{
+    RawListener listener;
+    HttpClient client;
+    const HttpClientRequest request = getRequest(listener.url());
+    std::promise<core::Result<HttpResponse>> first;
+    client.fetch(request, [&first](core::Result<HttpResponse> result) { first.set_value(std::move(result)); });
+    auto socket = listener.accept();
+    readRequest(socket, 0);
+    asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+    EXPECT_TRUE(core::isOk(first.get_future().get()));
+
+    std::promise<core::Result<HttpResponse>> second;
+    client.fetch(request, [&second](core::Result<HttpResponse> result) { second.set_value(std::move(result)); });
+    readRequest(socket, 0);
+    // The server ends.
+    listener.close();
+    socket.close();
+    EXPECT_EQ(kindOf(second.get_future().get()), ErrorKind::BackendServerLost);
+}
+
 TEST(HttpClient, reportsTimeoutCancellationAndTooLargeBody)
 {
     std::mutex mutex;
