--- a/packages/forwarding/tests/brokenstreamstest.cpp
+++ b/packages/forwarding/tests/brokenstreamstest.cpp
@@ -262,23 +262,24 @@
     const std::string json = fields + "Content-Type: application/json\r\n";
     const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n" + chunk("oops") + lastChunk;
     const std::string withLength = "Content-Length: 4\r\n\r\noops";
-    for (const std::string &next : {
-             "HTTP/1.1 200 OK\r\n" + json + chunked,
-             "HTTP/1.1 200 OK\r\n" + json + "\r\noops\n\n",
-             "HTTP/1.1 200 OK\r\n" + json + withLength,
-             "HTTP/1.1 200 OK\r\n" + fields + withLength,
-             "HTTP/1.1 202 Accepted\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + lastChunk,
-             "HTTP/1.1 204 No Content\r\n" + fields + "\r\n",
-             "HTTP/1.1 302 Found\r\n" + fields + chunked,
-             "HTTP/1.1 400 Bad Request\r\n" + fields + withLength,
-             "HTTP/1.1 404 Not Found\r\n" + fields + chunked,
-             "HTTP/1.1 421 Misdirected Request\r\n" + withLength,
-             "HTTP/1.1 429 Too Many Requests\r\nNot-Run: 1\r\n" + withLength,
-             "HTTP/1.1 500 Internal Server Error\r\n" + fields + chunked,
-             "HTTP/1.1 500 Internal Server Error\r\n" + json + "\r\noops\n\n",
-             "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRetry-After: 1\r\n" + withLength,
-             "HTTP/1.1 503 Service Unavailable\r\n" + withLength,
-         }) {
+    const std::vector<std::string> nextAnswers{
+        "HTTP/1.1 200 OK\r\n" + json + chunked,
+        "HTTP/1.1 200 OK\r\n" + json + "\r\noops\n\n",
+        "HTTP/1.1 200 OK\r\n" + json + withLength,
+        "HTTP/1.1 200 OK\r\n" + fields + withLength,
+        "HTTP/1.1 202 Accepted\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + lastChunk,
+        "HTTP/1.1 204 No Content\r\n" + fields + "\r\n",
+        "HTTP/1.1 302 Found\r\n" + fields + chunked,
+        "HTTP/1.1 400 Bad Request\r\n" + fields + withLength,
+        "HTTP/1.1 404 Not Found\r\n" + fields + chunked,
+        "HTTP/1.1 421 Misdirected Request\r\n" + withLength,
+        "HTTP/1.1 429 Too Many Requests\r\nNot-Run: 1\r\n" + withLength,
+        "HTTP/1.1 500 Internal Server Error\r\n" + fields + chunked,
+        "HTTP/1.1 500 Internal Server Error\r\n" + json + "\r\noops\n\n",
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRetry-After: 1\r\n" + withLength,
+        "HTTP/1.1 503 Service Unavailable\r\n" + withLength,
+    };
+    for (const auto &next : nextAnswers) {
         const StreamSimulation stream({firstHead + chunk(event(1) + event(2) + "id: 3\nda"), true}, {next, true});
         EXPECT_EQ(stream.requestCount, 2) << next;
         EXPECT_TRUE(stream.answer.starts_with("HTTP/1.1 200 ")) << stream.answer;
@@ -291,6 +292,8 @@
 // The same, where a further backend server completes the stream.
 TEST(BrokenStreams, streamGoesOnAfterAnErrorOfTheNextBackend)
 {
+    const std::string begin = firstHead + chunk(event(1));
+    const std::string rest = secondHead + chunk(event(2) + event(3)) + lastChunk;
     for (const std::string error :
          {"HTTP/1.1 500 Internal Server Error\r\nProof: second\r\nAttempt: 77\r\nContent-Length: 4\r\n\r\noops",
           "HTTP/1.1 200 OK\r\nProof: second\r\nAttempt: 77\r\nContent-Type: text/plain\r\n\r\noops\n\n"}) {
@@ -298,14 +301,14 @@
         simulation.configure(RouteKind::Stream, std::chrono::seconds(10), 3);
         int requestCount = 0;
         for (int backend = 0; backend < 3; ++backend) {
-            simulation.addBackend([&requestCount, &error](const std::string &) {
+            simulation.addBackend([&requestCount, &error, &begin, &rest](const std::string &) {
                 switch (++requestCount) {
                 case 1:
-                    return ScriptedResponse{firstHead + chunk(event(1)), true};
+                    return ScriptedResponse{begin, true};
                 case 2:
                     return ScriptedResponse{error, true};
                 default:
-                    return ScriptedResponse{secondHead + chunk(event(2) + event(3)) + lastChunk};
+                    return ScriptedResponse{rest};
                 }
             });
         }
--- a/packages/services/tests/vmlisttest.cpp
+++ b/packages/services/tests/vmlisttest.cpp
@@ -20,6 +20,12 @@
     return std::string(depth, '[') + std::string(depth, ']');
 }
 
+std::vector<std::string> rowsWithNumber(const std::string &number)
+{
+    return {R"({"id":)" + number + "}", R"({"id":"vm-2","address":)" + number + "}", number,
+            R"({"id":"vm-2","\"":")" + number + R"(","role":)" + number + "}"};
+}
+
 } // namespace
 
 TEST(VmList, readsRows)
@@ -55,9 +61,7 @@
 TEST(VmList, rowWithANumberTooLargeIsLeftOutAndTheOthersHold)
 {
     for (const std::string &number : {std::string("1e999"), std::string("-1e999"), std::string(400, '9')}) {
-        for (const std::string &row :
-             {R"({"id":)" + number + "}", R"({"id":"vm-2","address":)" + number + "}", std::string(number),
-              R"({"id":"vm-2","\"":")" + number + R"(","role":)" + number + "}"}) {
+        for (const auto &row : rowsWithNumber(number)) {
             const auto rows = rowsBeside(row);
             ASSERT_EQ(rows.size(), 1U) << row;
             EXPECT_EQ(rows.front().vm, core::VmId("vm-1"));
