--- a/packages/http/tests/httpclienttest.cpp
+++ b/packages/http/tests/httpclienttest.cpp
@@ -46,6 +46,19 @@
     return bytes;
 }
 
+/// Answers a first request; the client reuses the connection for the next one.
+asio::ip::tcp::socket connectionAfterOneAnswer(RawListener &listener, HttpClient &client,
+                                               const HttpClientRequest &request)
+{
+    std::promise<core::Result<HttpResponse>> first;
+    client.fetch(request, [&first](core::Result<HttpResponse> result) { first.set_value(std::move(result)); });
+    auto socket = listener.accept();
+    readRequest(socket, 0);
+    asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+    EXPECT_TRUE(core::isOk(first.get_future().get()));
+    return socket;
+}
+
 void echo(const HttpExchangePointer &exchange)
 {
     exchange->respond(jsonResponse(201, exchange->request().method + exchange->request().body));
@@ -195,12 +208,7 @@
     HttpClientRequest request = getRequest(listener.url());
     request.method = "POST";
     request.body = "";
-    std::promise<core::Result<HttpResponse>> first;
-    client.fetch(request, [&first](core::Result<HttpResponse> result) { first.set_value(std::move(result)); });
-    auto socket = listener.accept();
-    readRequest(socket, 0);
-    asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
-    EXPECT_TRUE(core::isOk(first.get_future().get()));
+    auto socket = connectionAfterOneAnswer(listener, client, request);
 
     std::promise<core::Result<HttpResponse>> second;
     client.fetch(request, [&second](core::Result<HttpResponse> result) { second.set_value(std::move(result)); });
@@ -216,12 +224,7 @@
     RawListener listener;
     HttpClient client;
     const HttpClientRequest request = getRequest(listener.url());
-    std::promise<core::Result<HttpResponse>> first;
-    client.fetch(request, [&first](core::Result<HttpResponse> result) { first.set_value(std::move(result)); });
-    auto socket = listener.accept();
-    readRequest(socket, 0);
-    asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
-    EXPECT_TRUE(core::isOk(first.get_future().get()));
+    auto socket = connectionAfterOneAnswer(listener, client, request);
 
     std::promise<core::Result<HttpResponse>> second;
     client.fetch(request, [&second](core::Result<HttpResponse> result) { second.set_value(std::move(result)); });
