Own interface: requests to backend servers and commands to engines share no connection

A side's requests to its backend server, on the same VM, and commands to engines get connections of their own.

HttpClient.copyOfAnAnswerReachesNoRequestThatSharesNoConnection: with a shared connection the second request got the first one's answer.

--- a/packages/daemon/src/side/requestrunner.cpp
+++ b/packages/daemon/src/side/requestrunner.cpp
@@ -130,6 +130,8 @@
     }
     transfer.body = request.body;
     transfer.timeout = std::chrono::milliseconds(request.timeoutMs);
+    // Answers of backend servers do not name their request.
+    transfer.sharesConnection = false;
 
     http::HttpClientHandlers handlers;
     handlers.onHead = [run](int status, const http::HttpHeaders &headers) {
--- a/packages/http/include/lycheelanding/http/httpclient.h
+++ b/packages/http/include/lycheelanding/http/httpclient.h
@@ -24,6 +24,9 @@
     std::chrono::milliseconds timeout = std::chrono::seconds(10);
     /// Answers with a larger body fail; 0 means no limit.
     std::size_t maxBodyBytes = 0;
+    /// Whether the request may share its connection with others. A server that sends an answer twice can give the copy
+    /// to the next request on the connection.
+    bool sharesConnection = true;
 };
 
 /// Called in the order head, chunks, done on the client's thread or executor; they must not block.
--- a/packages/http/src/private/httptransfer.cpp
+++ b/packages/http/src/private/httptransfer.cpp
@@ -81,7 +81,8 @@
             }
         });
     }
-    if (const auto idle = m_pool.acquire(m_url.server)) {
+    const auto idle = m_request.sharesConnection ? m_pool.acquire(m_url.server) : nullptr;
+    if (idle) {
         send(idle, true);
         return;
     }
@@ -123,14 +124,20 @@
         if (self->m_isFinished) {
             return;
         }
-        if (isReusable) {
+        if (isReusable && self->m_request.sharesConnection) {
             self->m_pool.release(self->m_connection);
         }
+        if (!self->m_request.sharesConnection) {
+            self->m_connection->close();
+        }
         self->m_connection.reset();
         self->finish(core::Done());
     };
     handlers.onFailed = [self, isReused](const core::Error &error) { self->onFailed(error, isReused); };
     HttpRequest request{m_request.method, m_url.target, m_request.headers, m_request.body};
+    if (!m_request.sharesConnection) {
+        request.headers.add("Connection", "close");
+    }
     connection->send(serializedRequest(request, m_url.authority), m_request.method == "HEAD", std::move(handlers));
 }
 
--- a/packages/http/tests/httpclienttest.cpp
+++ b/packages/http/tests/httpclienttest.cpp
@@ -235,6 +235,39 @@
     EXPECT_EQ(kindOf(second.get_future().get()), ErrorKind::BackendServerLost);
 }
 
+// A server sent the answer to a request once more when the next one had arrived on its connection, and the next caller
+// got it.
+TEST(HttpClient, copyOfAnAnswerReachesNoRequestThatSharesNoConnection)
+{
+    const auto answerOf = [](const std::string &body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    RawListener listener;
+    std::thread server([&] {
+        auto first = listener.accept();
+        readRequest(first, 0);
+        asio::write(first, asio::buffer(answerOf("first")));
+        std::array<char, 1> byte{};
+        asio::error_code error;
+        if (first.read_some(asio::buffer(byte), error) > 0) {
+            asio::write(first, asio::buffer(answerOf("first") + answerOf("second")), error);
+            return;
+        }
+        auto second = listener.accept();
+        readRequest(second, 0);
+        asio::write(second, asio::buffer(answerOf("second")));
+    });
+    HttpClient client;
+    auto request = getRequest(listener.url());
+    request.sharesConnection = false;
+    for (const std::string body : {"first", "second"}) {
+        const auto answer = client.fetchAndWait(request);
+        ASSERT_TRUE(core::isOk(answer));
+        EXPECT_EQ(core::valueOf(answer).body, body);
+    }
+    server.join();
+}
+
 TEST(HttpClient, reportsTimeoutCancellationAndTooLargeBody)
 {
     std::mutex mutex;
--- a/packages/services/src/modelengine.cpp
+++ b/packages/services/src/modelengine.cpp
@@ -145,6 +145,8 @@
     request.method = method;
     request.url = m_baseUrl + path;
     request.timeout = std::chrono::seconds(2);
+    // Answers to commands do not name their command.
+    request.sharesConnection = method == "GET";
     return request;
 }
 
