Intake: limits of cold backend servers

A cold backend server tolerates few requests from all entries together in any one second; nothing in the entries knew of it. BackendIntake holds a limit of cold backend servers beside the stated one, and both bind.

BackendSelector takes a list of slow backend servers with the request: they cost more, and a request with little time left goes there only if no other one is available.

--- a/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
@@ -41,9 +41,31 @@
     std::uint64_t sent = 0;
 };
 
+/// How many requests a backend server tolerates while it is cold.
+struct ColdRate
+{
+    /// Requests per second from all entries together.
+    double perSecond = 0.0;
+    /// In no second may it get more than `perSecond` times `overage`, and `slack` requests.
+    double overage = 1.5;
+    double slack = 5.0;
+
+    bool operator==(const ColdRate &) const = default;
+};
+
+/// A backend server that is cold until then.
+struct ColdLimit
+{
+    BackendId backend;
+    core::ServiceId service;
+    ColdRate rate;
+    core::TimePoint until;
+};
+
 /// The limits of requests per second that backend servers state, as one entry knows them, and this entry's shares of
 /// them. A limit holds from the answer that states it until an answer without one, to a request that was sent after the
-/// last answer that stated it: answers on several connections overtake each other.
+/// last answer that stated it: answers on several connections overtake each other. The limit of a cold backend server
+/// holds until a time that is known; where both hold, a request needs a turn of each.
 class BackendIntake
 {
 public:
@@ -52,7 +74,7 @@
     void setPosition(const EntryPosition &position, core::TimePoint now);
     /// A request of the service looks for a backend server.
     void requestArrived(const core::ServiceId &service, core::TimePoint now) { m_demand.requestArrived(service, now); }
-    /// This entry's demand for the services with limited backend servers, to be reported to the other entries.
+    /// This entry's demand for the services with limited or cold backend servers, to be reported to the other entries.
     std::vector<ServiceDemand> demandReports(core::TimePoint now);
     void demandReported(const std::vector<TotalDemand> &totals, core::TimePoint now);
     LimitChange limitStated(const StatedLimit &stated, core::TimePoint now);
@@ -60,11 +82,16 @@
     std::optional<EndedLimit> noLimitStated(const BackendId &id, core::TimePoint sentAt, core::TimePoint now);
     /// Whether an unreadable statement is to be reported now; what was stated before remains in force.
     bool unreadable(const BackendId &id, core::TimePoint now);
-    /// Whether the backend server's limit allows this entry a request now.
+    /// The backend server is cold, or its end of that or its rate has changed.
+    void setCold(const ColdLimit &cold, core::TimePoint now);
+    void endCold(const BackendId &id) { m_coldLimits.erase(id); }
+    bool isCold(const BackendId &id, core::TimePoint now) const;
+    /// Whether the backend server's limits allow this entry a request now.
     bool mayReceive(const BackendId &id, core::TimePoint now) const;
-    /// Requests that the backend server's limit allows this entry until then; nullopt if it states no limit.
+    /// Requests that the backend server's limits allow this entry until then; nullopt without one that holds until
+    /// then.
     std::optional<std::size_t> allowedUntil(const BackendId &id, core::TimePoint until, core::TimePoint now) const;
-    /// This entry's share of the backend server's limit, in requests per second; 0 if it gets no turns.
+    /// This entry's share of the backend server's lowest limit, in requests per second; 0 if it gets no turns.
     double shareOf(const BackendId &id) const;
     void recordSent(const BackendId &id, core::TimePoint now);
     /// Forgets what the backend server has said: it is gone, or another incarnation.
@@ -75,29 +102,50 @@
     std::size_t limitedCount() const { return m_limits.size(); }
 
 private:
-    struct Limit
+    /// A rate at one backend server that all entries keep together, and this entry's share of it.
+    struct SharedLimit
     {
         core::ServiceId service;
         double perSecond = 0.0;
+        RateShare share;
+    };
+
+    struct Limit : SharedLimit
+    {
         core::TimePoint since;
         core::TimePoint lastStated;
-        RateShare share;
         std::uint64_t sent = 0;
         /// When this entry, if it gets no turns, may find out with one request whether the limit has ended.
         core::TimePoint nextProbe = {};
     };
 
+    struct Cold : SharedLimit
+    {
+        ColdRate rate;
+        core::TimePoint until;
+    };
+
     core::Duration probeDelay(const BackendId &id) const;
     /// Another entry is the first one at each backend server.
+    static EntryPosition rotated(const EntryPosition &position, const BackendId &id);
     EntryPosition positionAt(const BackendId &id) const;
-    SharedRate sharedRate(const BackendId &id, const Limit &limit, core::TimePoint now) const;
+    SharedRate sharedRate(const BackendId &id, const SharedLimit &limit, core::TimePoint now) const;
+    SharedRate sharedRate(const BackendId &id, const Cold &cold, core::TimePoint now) const;
+    /// nullptr unless the backend server is cold.
+    const Cold *coldLimitOf(const BackendId &id, core::TimePoint now) const;
+    std::optional<std::size_t> statedAllowedUntil(const BackendId &id, core::TimePoint until,
+                                                  core::TimePoint now) const;
     void updateShares(core::TimePoint now);
 
     core::RandomSequence m_random;
     EntryPosition m_position;
+    bool m_isPositionKnown = false;
+    /// Stands for this entry's position until it is known.
+    std::uint64_t m_unknownPosition = 0;
     DemandShares m_demand;
     core::TimePoint m_nextUpdate;
     std::map<BackendId, Limit> m_limits;
+    std::map<BackendId, Cold> m_coldLimits;
     std::map<BackendId, core::TimePoint> m_unreadableReports;
 };
 
--- a/packages/decisions/include/lycheelanding/decisions/intake/rateshare.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/rateshare.h
@@ -4,6 +4,7 @@
 #include "lycheelanding/core/random.h"
 #include "lycheelanding/decisions/membership/entryposition.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 
@@ -11,6 +12,22 @@
 
 using membership::EntryPosition;
 
+/// How far the requests sent may exceed a rate for a time. The defaults are those of limits that backend servers state:
+/// the users' rule allows half as much again as the rate over 4 s, and 5 requests; what is not used here is for the
+/// probes of entries without turns.
+struct RateReserve
+{
+    /// Unused turns of this time may be used later, and the last one at any time.
+    core::Duration time = std::chrono::seconds(1);
+    /// What all entries together may have in reserve, in seconds of the rate and in requests.
+    double maxSeconds = 2.0;
+    double maxRequests = 3.0;
+    /// An entry that gets turns in place of another one waits until those of the other are no longer counted.
+    core::Duration countedTime = std::chrono::seconds(4);
+
+    bool operator==(const RateReserve &) const = default;
+};
+
 /// A rate that all entries keep together, each of them its share.
 struct SharedRate
 {
@@ -19,6 +36,7 @@
     EntryPosition position;
     /// Part of the rate that is this entry's.
     double fraction = 1.0;
+    RateReserve reserve = {};
 
     bool operator==(const SharedRate &) const = default;
 };
--- a/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
@@ -34,6 +34,8 @@
     double tokenWeight = 0.2;
     /// Added to the cost of a rank in another data centre, in tokens.
     double crossDataCentrePenaltyTokens = 20.0;
+    /// Cost of a rank of a slow backend server, as a multiple of its cost with one request more.
+    double slowFactor = 3.0;
     /// Panic threshold: if a smaller fraction of the backend servers that serve a request is available, their health is
     /// ignored, since a failing server is better than none. 0 disables this.
     double minAvailableFraction = 0.0;
@@ -130,6 +132,8 @@
     bool isClosed(const core::VmId &vm, core::TimePoint now) const;
     bool areTooFewAvailable(const RouteRequest &request, core::TimePoint now) const;
     std::optional<Choice> probeFor(const RouteRequest &request, core::TimePoint now) const;
+    /// Keeps only those that are not slow, if there are any.
+    static void removeSlow(std::vector<Target> &targets, const RouteRequest &request);
     void addCosts(std::vector<Target> &targets, const RouteRequest &request, core::TimePoint now) const;
     Choice pick(const std::vector<Target> &targets, const RouteRequest &request) const;
     static Choice choiceOf(const Target &target, std::uint64_t savedTokens);
--- a/packages/decisions/include/lycheelanding/decisions/routing/routerequest.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/routerequest.h
@@ -31,6 +31,10 @@
     bool isIdempotent = true;
     /// Backend servers that must not be chosen: already tried, or at their concurrency limit.
     std::vector<core::VmId> excluded = {};
+    /// Backend servers that need longer for a request than their load says.
+    std::vector<core::VmId> slow = {};
+    /// These are chosen only if no other one is available.
+    bool hasLittleTime = false;
 };
 
 struct Choice
--- a/packages/decisions/src/intake/rateshare.cpp
+++ b/packages/decisions/src/intake/rateshare.cpp
@@ -15,14 +15,6 @@
 constexpr double minPerSecond = 0.1;
 /// Higher ones are lowered to this one, which no entry reaches: the time between turns is more than zero.
 constexpr double maxPerSecond = 1e6;
-/// Unused turns of this time may be used later, and the last one at any time.
-constexpr core::Duration reserveTime = std::chrono::seconds(1);
-/// What all entries together may have in reserve, in seconds of the rate and in requests: the users' rule allows half
-/// as much again as the rate over 4 s, and 5 requests. The rest is for the probes of entries without turns.
-constexpr double maxReserveSeconds = 2.0;
-constexpr double maxReserveRequests = 3.0;
-/// An entry that gets turns in place of another one waits until those of the other are no longer counted.
-constexpr core::Duration countedTime = std::chrono::seconds(4);
 
 core::Duration scaled(core::Duration duration, double factor)
 {
@@ -38,7 +30,7 @@
     }
     m_rate = rate;
     const double perSecond = std::clamp(rate.perSecond, minPerSecond, maxPerSecond);
-    const double maxSharers = std::floor(maxReserveSeconds * perSecond + maxReserveRequests);
+    const double maxSharers = std::max(std::floor(rate.reserve.maxSeconds * perSecond + rate.reserve.maxRequests), 1.0);
     const bool areTooMany = static_cast<double>(rate.position.entries) > maxSharers;
     const double fraction = areTooMany ? 1.0 / maxSharers : rate.fraction;
     const auto interval = std::chrono::duration_cast<core::Duration>(Seconds(1.0 / (perSecond * fraction)));
@@ -51,12 +43,13 @@
         return;
     }
     const bool isFirst = earlier == core::Duration::zero();
-    m_nextTurn = now + (isFirst ? core::Duration::zero() : countedTime) + scaled(interval, m_random.nextUnit());
+    m_nextTurn
+        = now + (isFirst ? core::Duration::zero() : rate.reserve.countedTime) + scaled(interval, m_random.nextUnit());
 }
 
 core::TimePoint RateShare::firstTurn(core::TimePoint now) const
 {
-    const auto reserve = std::max(reserveTime - m_interval, core::Duration::zero());
+    const auto reserve = std::max(m_rate.reserve.time - m_interval, core::Duration::zero());
     return std::max(m_nextTurn, now - reserve);
 }
 
--- a/packages/decisions/src/routing/backendselector.cpp
+++ b/packages/decisions/src/routing/backendselector.cpp
@@ -162,6 +162,9 @@
         return core::Error{core::ErrorKind::NoBackendServer, "all backend servers are leaving, excluded or set aside",
                            wait};
     }
+    if (request.hasLittleTime) {
+        removeSlow(targets, request);
+    }
     addCosts(targets, request, now);
     return pick(targets, request);
 }
@@ -305,7 +308,8 @@
 std::optional<Choice> BackendSelector::probeFor(const RouteRequest &request, core::TimePoint now) const
 {
     for (const auto &[vm, server] : m_servers) {
-        if (!serves(server.candidate, request) || contains(request.excluded, vm)) {
+        const bool isTooSlow = request.hasLittleTime && contains(request.slow, vm);
+        if (!serves(server.candidate, request) || contains(request.excluded, vm) || isTooSlow) {
             continue;
         }
         // A backend server that has turned requests away is not known to fail them.
@@ -317,6 +321,15 @@
     return std::nullopt;
 }
 
+void BackendSelector::removeSlow(std::vector<Target> &targets, const RouteRequest &request)
+{
+    const auto isSlow
+        = [&request](const Target &target) { return contains(request.slow, target.server->candidate.vm); };
+    if (!std::all_of(targets.begin(), targets.end(), isSlow)) {
+        std::erase_if(targets, isSlow);
+    }
+}
+
 void BackendSelector::addCosts(std::vector<Target> &targets, const RouteRequest &request, core::TimePoint now) const
 {
     const double dither = m_settings.ditherWeight * unreportedWork(targets, now);
@@ -327,6 +340,9 @@
         const double work = m_settings.tokenWeight * tokens + m_settings.requestWeight * requests
             + static_cast<double>(request.expectedTokens);
         target.cost = work * m_speed.slowness(vm, now) / m_health.loadFraction(vm, now) + dither * target.rank->dither;
+        if (contains(request.slow, vm)) {
+            target.cost = (target.cost + m_settings.requestWeight) * m_settings.slowFactor;
+        }
         if (target.server->candidate.dataCentre != request.localDataCentre) {
             target.cost += m_settings.crossDataCentrePenaltyTokens;
         }
