Entries keep to what cold backend servers tolerate

Cause: ColdRemainingMs, ColdS, ColdPerS and Cold-Ms were read by nothing, so that a backend server got what its slots allow right after its start and could crash under it. The adapter now passes them on: registrations by a path of their own, as ColdRemainingMs changes with each heartbeat and must not cost a BackendUsable; services of the configuration; the answer field; Bounds.ColdOverage and Bounds.ColdSlack. ColdTracker applies them to the backend set, logs backendCold and backendWarm and counts. All choices of a backend server go through BackendSet::canAccept and BackendIntake::recordSent; a request whose connection opens only after the backend server became cold chooses again. Invalid values change nothing: one rate-limited line each.

The factor of slow backend servers applies to their work only: with the random term multiplied too, a cold one got 8 requests per second of 28 where the others were loaded (ColdFleet.coldBackendsGetWhatTheyTolerate failed).

--- a/packages/decisions/src/routing/backendselector.cpp
+++ b/packages/decisions/src/routing/backendselector.cpp
@@ -337,12 +337,12 @@
         const core::VmId &vm = target.server->candidate.vm;
         const double tokens = target.rank->tokens.estimate(m_liveEntries, m_settings.reportTimeConstant, now);
         const double requests = target.rank->requests.estimate(m_liveEntries, m_settings.reportTimeConstant, now);
-        const double work = m_settings.tokenWeight * tokens + m_settings.requestWeight * requests
+        double work = m_settings.tokenWeight * tokens + m_settings.requestWeight * requests
             + static_cast<double>(request.expectedTokens);
-        target.cost = work * m_speed.slowness(vm, now) / m_health.loadFraction(vm, now) + dither * target.rank->dither;
         if (contains(request.slow, vm)) {
-            target.cost = (target.cost + m_settings.requestWeight) * m_settings.slowFactor;
+            work = (work + m_settings.requestWeight) * m_settings.slowFactor;
         }
+        target.cost = work * m_speed.slowness(vm, now) / m_health.loadFraction(vm, now) + dither * target.rank->dither;
         if (target.server->candidate.dataCentre != request.localDataCentre) {
             target.cost += m_settings.crossDataCentrePenaltyTokens;
         }
--- a/packages/forwarding/include/lycheelanding/forwarding/answerclass.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/answerclass.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lycheelanding/core/clock.h"
 #include "lycheelanding/core/errorkind.h"
 #include "lycheelanding/forwarding/fieldnames.h"
 #include "lycheelanding/http/clientconnection.h"
@@ -47,6 +48,12 @@
 /// The limit of requests that the answer states; nullopt if it states none.
 std::optional<RequestLimit> statedLimit(const http::AnswerHead &head, const FieldNames &names);
 
+/// A time for which the backend server is cold, or std::monostate if the field's text is no such time.
+using StatedColdTime = std::variant<std::monostate, core::Duration>;
+
+/// The remaining cold time that the answer states; nullopt if it states none.
+std::optional<StatedColdTime> statedColdTime(const http::AnswerHead &head, const FieldNames &names);
+
 /// A time in seconds, or std::monostate if the field's text is no positive number.
 using RetryDelay = std::variant<std::monostate, double>;
 
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -36,6 +36,8 @@
     core::Duration maxEventInterval = core::Duration::zero();
     /// Also accepts engines whose passes take longer than maxEventInterval because of their load.
     bool acceptsSaturated = false;
+    /// A cold backend server gets the request only if no other one accepts it.
+    bool hasLittleTime = false;
     /// Backend servers to which the request was sent before; they are excluded.
     std::vector<BackendId> tried;
     /// For a stream to be resumed: the time for which the last of `tried` has sent no event. If its whole group has
@@ -51,6 +53,8 @@
     std::uint64_t startedAtMs = 0;
     asio::ip::tcp::endpoint endpoint;
     decisions::routing::Choice choice;
+    /// It was cold when it was chosen, so that the request has taken a turn.
+    bool isCold = false;
 };
 
 /// Load of a backend server that is a rank of a group.
@@ -111,7 +115,8 @@
     /// Whether a request may still be sent to the backend server that was chosen for it some time before.
     bool isStillUsable(const ChosenBackend &chosen, core::TimePoint now) const
     {
-        return m_backends.contains(chosen.id) && !pauseOf(chosen.id, chosen.startedAtMs, now);
+        const bool needsTurn = !chosen.isCold && m_intake.isCold(chosen.id, now);
+        return m_backends.contains(chosen.id) && !needsTurn && !pauseOf(chosen.id, chosen.startedAtMs, now);
     }
     /// The earliest time at which a backend server of the service takes requests again; nullopt unless all of them have
     /// turned this entry away.
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -23,6 +23,7 @@
     SharedRetryBudget retryBudget;
     decisions::membership::EntryDrainSettings drain;
     std::size_t maxConnections = 4096;
+    ColdBounds coldBounds;
 };
 
 /// An entry on the direct path: accepts requests of callers and forwards them to backend servers. Used on the thread of
--- a/packages/forwarding/include/lycheelanding/forwarding/fieldnames.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/fieldnames.h
@@ -32,6 +32,8 @@
     std::string leaving;
     /// In an answer: requests per second that the backend server takes from all entries together, a decimal number.
     std::string requestLimit;
+    /// In an answer: remaining time in milliseconds for which the backend server is cold.
+    std::string coldTime;
 };
 
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardingconfiguration.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardingconfiguration.h
@@ -2,6 +2,7 @@
 
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/core/ids.h"
+#include "lycheelanding/decisions/intake/coldbackends.h"
 
 #include <chrono>
 #include <cstddef>
@@ -88,6 +89,8 @@
     /// Maximum number of connections to one backend server from all entries together; 0 if unknown.
     std::size_t maxConnections = 0;
     std::optional<ModelShape> model = std::nullopt;
+    /// nullopt if what the document says is invalid: what was known before holds.
+    std::optional<decisions::intake::ColdTerms> cold = decisions::intake::ColdTerms();
 };
 
 /// Limits for the connections of callers.
--- a/packages/forwarding/include/lycheelanding/forwarding/intaketracker.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/intaketracker.h
@@ -3,6 +3,7 @@
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/forwarding/answerclass.h"
 #include "lycheelanding/forwarding/backendset.h"
+#include "lycheelanding/forwarding/coldtracker.h"
 #include "lycheelanding/forwarding/eventlog.h"
 #include "lycheelanding/report/metrics.h"
 
@@ -39,12 +40,12 @@
 };
 
 /// Reads from the answers of backend servers, and from the reports of other entries, which requests they take: limits
-/// of requests per second, and times without any. Logs their changes. Used on one thread.
+/// of requests per second, times without any, and remaining cold times. Logs their changes. Used on one thread.
 class IntakeTracker
 {
 public:
     IntakeTracker(BackendSet &backends, EventLog &log, report::Metrics &metrics)
-        : m_backends(backends), m_log(log), m_metrics(metrics)
+        : m_backends(backends), m_log(log), m_metrics(metrics), m_cold(backends, log, metrics)
     { }
 
     /// The handler passes changes that this entry has learnt from answers on to the other entries.
@@ -53,8 +54,11 @@
     void answered(const AnsweredAttempt &attempt, const http::AnswerHead &head, const FieldNames &names);
     /// Applies a report of another entry.
     void apply(const LimitReport &report);
+    ColdTracker &cold() { return m_cold; }
 
 private:
+    void readColdTime(const RegisteredBackend &backend, const AnsweredAttempt &attempt, const http::AnswerHead &head,
+                      const FieldNames &names);
     void readLimit(const RegisteredBackend &backend, const http::AnswerHead &head, const FieldNames &names,
                    core::TimePoint sentAt);
     void readRetryDelay(const AnsweredAttempt &attempt, const http::AnswerHead &head);
@@ -68,6 +72,7 @@
     BackendSet &m_backends;
     EventLog &m_log;
     report::Metrics &m_metrics;
+    ColdTracker m_cold;
     std::function<void(const LimitReport &)> m_onReport;
 };
 
--- a/packages/forwarding/include/lycheelanding/forwarding/waitlimits.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/waitlimits.h
@@ -24,6 +24,8 @@
     core::Duration unresponsiveVmTimeout{};
     /// What another backend server needs to resume the stream; with less time left it is not tried.
     core::Duration resumeTime{};
+    /// From then on a backend server that is slow may not answer in time.
+    core::TimePoint hasLittleTimeFrom{};
 };
 
 /// The error of a stream that has had no event for `inactivity`; empty while its backend server counts as slow.
--- a/packages/forwarding/src/answerclass.cpp
+++ b/packages/forwarding/src/answerclass.cpp
@@ -1,5 +1,7 @@
 #include "lycheelanding/forwarding/answerclass.h"
 
+#include "lycheelanding/decisions/intake/coldbackends.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -86,6 +88,17 @@
     return number && *number >= 0.0 ? RequestLimit(*number) : RequestLimit();
 }
 
+std::optional<StatedColdTime> statedColdTime(const http::AnswerHead &head, const FieldNames &names)
+{
+    const auto text = head.headers.find(names.coldTime);
+    if (!text) {
+        return std::nullopt;
+    }
+    const auto number = decimalNumberIn(*text);
+    const auto time = number ? decisions::intake::coldTimeFrom(*number) : std::nullopt;
+    return time ? StatedColdTime(*time) : StatedColdTime();
+}
+
 std::optional<RetryDelay> statedRetryDelay(const http::AnswerHead &head)
 {
     const auto text = head.status == serviceUnavailable ? head.headers.find("Retry-After") : std::nullopt;
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -288,6 +288,7 @@
     route.expectedTokens = request.expectedTokens;
     route.localDataCentre = m_localDataCentre;
     route.isIdempotent = request.isIdempotent;
+    route.hasLittleTime = request.hasLittleTime;
     for (const auto &id : request.tried) {
         route.excluded.push_back(selectorId(id));
     }
@@ -296,6 +297,8 @@
         const bool isStalled = !stalled.isEmpty() && groupOf(id) == stalled;
         if (backend.service == request.service && (isStalled || !canAccept(backend, request, now))) {
             route.excluded.push_back(selectorId(id));
+        } else if (m_intake.isCold(id, now)) {
+            route.slow.push_back(selectorId(id));
         }
     }
     const auto result = m_selector.choose(route, now);
@@ -308,7 +311,7 @@
     m_selector.requestSent(attempt, choice, request.expectedTokens, now);
     m_attempts[attempt] = id;
     m_intake.recordSent(id, now);
-    return ChosenBackend{id, m_backends.at(id).startedAtMs, m_endpoints.at(id), choice};
+    return ChosenBackend{id, m_backends.at(id).startedAtMs, m_endpoints.at(id), choice, m_intake.isCold(id, now)};
 }
 
 void BackendSet::recordFirstEvent(AttemptId attempt, std::uint64_t promptTokens, core::TimePoint now)
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -46,7 +46,9 @@
                      [this](const auto &exchange) { handleRequest(exchange); }),
       m_readinessServer(context, serverSettings(m_settings.readinessEndpoint, m_settings.maxConnections),
                         [this](const auto &exchange) { handleReadiness(exchange); })
-{ }
+{
+    m_intakeTracker.cold().setBounds(m_settings.coldBounds);
+}
 
 EntryServer::~EntryServer() = default;
 
@@ -74,6 +76,7 @@
         }
     }
     m_backends.setModels(std::move(models));
+    m_intakeTracker.cold().configure(m_routes->configuration().services, m_clock.now());
     if (m_hasBackendList) {
         forwardEarlyRequests();
     }
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -80,6 +80,7 @@
     request.isIdempotent = m_terms.route->isIdempotent();
     request.maxEventInterval = m_terms.route->targetEventInterval;
     request.acceptsSaturated = now() >= m_limits.acceptsSaturatedFrom;
+    request.hasLittleTime = now() >= m_limits.hasLittleTimeFrom;
     request.tried = m_tried;
     return request;
 }
--- a/packages/forwarding/src/intaketracker.cpp
+++ b/packages/forwarding/src/intaketracker.cpp
@@ -25,6 +25,7 @@
     const auto backend = m_backends.all().find(attempt.backend);
     if (backend != m_backends.all().end() && isOwnAnswer(attempt.answerClass)) {
         readLimit(backend->second, head, names, attempt.chosenAt);
+        readColdTime(backend->second, attempt, head, names);
     }
     // Also from an answer that must not be passed on: what a 503 asks for does not depend on whether the request has
     // run. The registration may have lapsed since, and come back before the pause ends.
@@ -56,6 +57,22 @@
                  {"sentAfterMs", sinceTold(attempt.sentAt)}});
 }
 
+void IntakeTracker::readColdTime(const RegisteredBackend &backend, const AnsweredAttempt &attempt,
+                                 const http::AnswerHead &head, const FieldNames &names)
+{
+    const auto stated = statedColdTime(head, names);
+    if (!stated) {
+        return;
+    }
+    const auto *remaining = std::get_if<core::Duration>(&*stated);
+    if (remaining == nullptr) {
+        m_metrics.increment(report::Counter::ColdTimesInvalid);
+        reportUnreadable(backend.id, "coldTime");
+        return;
+    }
+    m_cold.answered({backend.id, backend.service, attempt.startedAtMs, *remaining, attempt.sentAt}, m_clock.now());
+}
+
 void IntakeTracker::readRetryDelay(const AnsweredAttempt &attempt, const http::AnswerHead &head)
 {
     const auto &id = attempt.backend;
--- a/packages/forwarding/src/waitlimits.cpp
+++ b/packages/forwarding/src/waitlimits.cpp
@@ -30,6 +30,9 @@
 /// of the engines.
 constexpr std::chrono::milliseconds unsaturatedWait{1000};
 
+/// Target latencies that a slow backend server may need for an answer.
+constexpr int slowLatencies = 4;
+
 core::Duration streamClientTimeout(const Route &route)
 {
     return std::max({minClientTimeout, route.targetLatency * clientTimeoutLatencies,
@@ -71,7 +74,8 @@
             arrival + unsaturatedWait,
             percentOf(clientTimeout, inactivityPercent),
             percentOf(clientTimeout, unresponsiveVmPercent),
-            percentOf(clientTimeout, 100 - inactivityPercent)};
+            percentOf(clientTimeout, 100 - inactivityPercent),
+            deadline - route.targetLatency * slowLatencies};
 }
 
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -288,6 +288,7 @@
         settings.names.promptParts = "Parts";
         settings.names.leaving = "Leaving";
         settings.names.requestLimit = "Limit";
+        settings.names.coldTime = "Cold";
         return settings;
     }
 
--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -23,6 +23,8 @@
     BackendLimitsStated,
     BackendTurnAways,
     RequestsSentInPauses,
+    BackendColdStarts,
+    ColdTimesInvalid,
     // Answers between processes
     AnswersComplete,
     AnswersBroken,
@@ -87,6 +89,7 @@
     RequestsQueued,
     PeersConnected,
     MapVersion,
+    BackendsCold,
     Count,
 };
 
--- a/packages/report/src/counters.cpp
+++ b/packages/report/src/counters.cpp
@@ -46,6 +46,8 @@
     {Counter::RequestsSentInPauses,
      {"requests_sent_in_pauses",
       "Requests turned away by a backend server that had asked for none when they were sent"}},
+    {Counter::BackendColdStarts, {"backend_cold_starts", "Backend servers that became cold"}},
+    {Counter::ColdTimesInvalid, {"cold_times_invalid", "Invalid cold times and rates, which were not applied"}},
     {Counter::AnswersComplete, {"answers_complete", "Answers with final frame, chunk count and checksum in order"}},
     {Counter::AnswersBroken, {"answers_broken", "Answers that ended without their final frame"}},
     {Counter::AnswersMalformed, {"answers_malformed", "Answers of backend servers that broke the protocol or a limit"}},
@@ -105,6 +107,7 @@
     {Gauge::RequestsQueued, {"requests_queued", "Requests that wait"}},
     {Gauge::PeersConnected, {"peers_connected", "Connections to other processes"}},
     {Gauge::MapVersion, {"map_version", "Expert map version in force"}},
+    {Gauge::BackendsCold, {"backends_cold", "Backend servers that are cold"}},
 }});
 
 constexpr auto latencies = textsInOrder<Latency, latencyCount>({{
