--- a/packages/decisions/include/lycheelanding/decisions/intake/coldbackends.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/coldbackends.h
@@ -104,9 +104,6 @@
     ColdChanges answered(const ColdAnswer &answer, core::TimePoint now);
     ColdChanges tick(core::TimePoint now);
 
-    bool hasTerms() const { return !m_terms.empty(); }
-    /// Whether backend servers of the service can be cold.
-    bool hasTerms(const core::ServiceId &service) const { return m_terms.contains(service); }
     std::size_t coldCount() const { return m_coldCount; }
 
 private:
