Capacity of plain backend servers: estimates from response times

Servers of one plain service differ in speed and slow down long before their slots are full, but an entry used a fixed share of the slots, and its choice did not consider speed. CapacityEstimator derives a slowness and a limit of requests in progress from response times; BackendSelector chooses candidates with adaptive capacity by the expected time. Other candidates are chosen as before.

Ruled out: multiplying the existing cost by the slowness. Without requests in progress that cost is a few tokens, and its random term, which grows with the streams of the entry, is hundreds; a slowness of 3 would have no effect.

--- a/packages/decisions/include/lycheelanding/decisions/routing/backendcandidate.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/backendcandidate.h
@@ -24,6 +24,10 @@
     core::GroupId group;
     /// Ranks of the backend server; empty if the service has no ranks.
     std::vector<core::RankIndex> ranks;
+    /// Whether it is chosen by its response times and its number of own requests. Only for plain services.
+    bool hasAdaptiveCapacity = false;
+    /// Differs between the incarnations of a backend server.
+    std::uint64_t incarnation = 0;
 };
 
 } // namespace lycheelanding::decisions::routing
--- a/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
@@ -3,6 +3,7 @@
 #include "lycheelanding/core/clock.h"
 #include "lycheelanding/core/random.h"
 #include "lycheelanding/core/result.h"
+#include "lycheelanding/decisions/routing/capacityestimator.h"
 #include "lycheelanding/decisions/routing/healthtracker.h"
 #include "lycheelanding/decisions/routing/loadreport.h"
 #include "lycheelanding/decisions/routing/rankloadestimator.h"
@@ -71,7 +72,13 @@
     /// The first token has arrived, so `promptTokens` of the attempt's expected tokens have been processed.
     void firstToken(AttemptId attempt, std::uint64_t promptTokens, core::TimePoint now);
     void tokenProgress(AttemptId attempt, std::uint64_t tokens, core::TimePoint now);
+    /// The request is written to its connection, which may have had to be opened since requestSent().
+    void requestWritten(AttemptId attempt, core::TimePoint now);
+    /// The answer of the request has begun, whatever its status.
+    void answerBegan(AttemptId attempt, core::TimePoint now);
     void requestEnded(AttemptId attempt, Outcome outcome, core::TimePoint now);
+    /// The VM of this entry was suspended.
+    void suspended(core::TimePoint now) { m_capacity.suspended(now); }
 
     /// Errors: UnknownModel if no candidate serves the request; NoBackendServer if none is available, with the time
     /// until the next probe as retryAfter.
@@ -85,6 +92,7 @@
     /// Estimated requests of all entries at the busiest rank of the backend server.
     double estimatedRequests(const core::VmId &vm, core::TimePoint now) const;
     std::uint64_t inFlightTokens(const core::VmId &vm) const;
+    const CapacityEstimator &capacity() const { return m_capacity; }
 
 private:
     struct Rank
@@ -112,6 +120,12 @@
         /// Time of the last token, or of sending before the first token.
         core::TimePoint lastToken;
         bool hasFirstToken = false;
+        std::uint64_t incarnation = 0;
+        /// Requests of this entry at the backend server when this one was sent, itself included.
+        std::size_t inProgress = 0;
+        bool isEstimated = false;
+        /// Set while the response time is still to come.
+        std::optional<core::TimePoint> writtenAt;
     };
 
     /// One rank to which the request may be sent.
@@ -131,6 +145,13 @@
     bool areTooFewAvailable(const RouteRequest &request, core::TimePoint now) const;
     std::optional<Choice> probeFor(const RouteRequest &request, core::TimePoint now) const;
     void addCosts(std::vector<Target> &targets, const RouteRequest &request, core::TimePoint now) const;
+    /// Costs of plain backend servers by the time in which they are expected to answer.
+    void addExpectedTimes(std::vector<Target> &targets, core::TimePoint now) const;
+    static bool usesExpectedTimes(const std::vector<Target> &targets, core::TimePoint now);
+    /// Redraws the random terms of all backend servers that compete with this one by expected time.
+    void redrawCompetitors(const Server &server);
+    static ResponseSample sampleOf(const Attempt &attempt, core::TimePoint writtenAt, core::TimePoint now);
+    void recordEndWithoutAnswer(const Attempt &attempt, Outcome outcome, core::TimePoint now);
     Choice pick(const std::vector<Target> &targets, const RouteRequest &request) const;
     static Choice choiceOf(const Target &target, std::uint64_t savedTokens);
     /// Work per rank that all entries are likely to have sent since the load reports.
@@ -142,6 +163,7 @@
     core::RandomSequence m_random;
     HealthTracker m_health;
     SpeedTracker m_speed;
+    CapacityEstimator m_capacity;
     std::map<core::VmId, Server> m_servers;
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::size_t m_liveEntries = 1;
--- a/packages/decisions/src/routing/backendselector.cpp
+++ b/packages/decisions/src/routing/backendselector.cpp
@@ -2,6 +2,9 @@
 
 #include "lycheelanding/core/stablehash.h"
 
+#include <cmath>
+#include <utility>
+
 namespace lycheelanding::decisions::routing {
 
 namespace {
@@ -9,6 +12,12 @@
 // The rate of work sent is a moving average of one sample per period.
 constexpr core::Duration ratePeriod = std::chrono::milliseconds(200);
 constexpr double rateWeight = 0.3;
+// The share of a backend server is its expected time to the power of minus this. With 3 a server that is three times
+// slower gets one request in 27 of a fast one, less than that with a higher one, and its recovery would go unnoticed.
+constexpr double expectedTimeExponent = 3.0;
+// Each own request in progress makes the expected time longer by this factor of the time alone: other entries are
+// likely to have sent requests too. With 1 servers that slow down under load got too many in virtual time.
+constexpr double ownRequestWeight = 4.0;
 
 template <typename Value>
 bool contains(const std::vector<Value> &values, const Value &value)
@@ -71,8 +80,21 @@
     const std::uint64_t tokens = expectedTokens - std::min(expectedTokens, choice.savedTokens);
     rank->tokens.sent(tokens, now);
     rank->requests.sent(1, now);
-    rank->dither = m_random.nextUnit();
-    m_attempts[attempt] = {choice.vm, choice.rank, tokens, now, false};
+    if (server->second.candidate.hasAdaptiveCapacity) {
+        redrawCompetitors(server->second);
+    } else {
+        rank->dither = m_random.nextUnit();
+    }
+    const auto &candidate = server->second.candidate;
+    m_attempts[attempt] = {choice.vm,
+                           choice.rank,
+                           tokens,
+                           now,
+                           false,
+                           candidate.incarnation,
+                           server->second.inFlight,
+                           candidate.hasAdaptiveCapacity,
+                           std::nullopt};
     m_health.requestSent(choice.vm, choice.isProbe, now);
     recordSent(m_settings.requestWeight + m_settings.tokenWeight * static_cast<double>(tokens), now);
 }
@@ -107,6 +129,43 @@
     state.lastToken = now;
 }
 
+void BackendSelector::requestWritten(AttemptId attempt, core::TimePoint now)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found != m_attempts.end() && found->second.isEstimated) {
+        found->second.writtenAt = now;
+    }
+}
+
+void BackendSelector::answerBegan(AttemptId attempt, core::TimePoint now)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    if (const auto writtenAt = std::exchange(found->second.writtenAt, std::nullopt)) {
+        m_capacity.answered(sampleOf(found->second, *writtenAt, now), now);
+    }
+}
+
+ResponseSample BackendSelector::sampleOf(const Attempt &attempt, core::TimePoint writtenAt, core::TimePoint now)
+{
+    return {attempt.vm, attempt.incarnation, writtenAt, now - writtenAt, attempt.inProgress};
+}
+
+void BackendSelector::recordEndWithoutAnswer(const Attempt &attempt, Outcome outcome, core::TimePoint now)
+{
+    if (!attempt.writtenAt || outcome == Outcome::Leaving) {
+        return;
+    }
+    const auto sample = sampleOf(attempt, *attempt.writtenAt, now);
+    if (outcome == Outcome::Refused) {
+        m_capacity.refused(sample, now);
+    } else {
+        m_capacity.failed(sample, now);
+    }
+}
+
 void BackendSelector::requestEnded(AttemptId attempt, Outcome outcome, core::TimePoint now)
 {
     const auto found = m_attempts.find(attempt);
@@ -115,6 +174,7 @@
     }
     const Attempt state = found->second;
     m_attempts.erase(found);
+    recordEndWithoutAnswer(state, outcome, now);
     const auto server = m_servers.find(state.vm);
     if (server != m_servers.end() && server->second.inFlight > 0) {
         --server->second.inFlight;
@@ -319,6 +379,10 @@
 
 void BackendSelector::addCosts(std::vector<Target> &targets, const RouteRequest &request, core::TimePoint now) const
 {
+    if (usesExpectedTimes(targets, now)) {
+        addExpectedTimes(targets, now);
+        return;
+    }
     const double dither = m_settings.ditherWeight * unreportedWork(targets, now);
     for (auto &target : targets) {
         const core::VmId &vm = target.server->candidate.vm;
@@ -333,6 +397,36 @@
     }
 }
 
+bool BackendSelector::usesExpectedTimes(const std::vector<Target> &targets, core::TimePoint now)
+{
+    return std::all_of(targets.begin(), targets.end(), [now](const Target &target) {
+        return target.server->candidate.hasAdaptiveCapacity && !target.rank->requests.hasReport(now);
+    });
+}
+
+void BackendSelector::addExpectedTimes(std::vector<Target> &targets, core::TimePoint now) const
+{
+    for (auto &target : targets) {
+        const core::VmId &vm = target.server->candidate.vm;
+        const double load = 1.0 + ownRequestWeight * static_cast<double>(target.server->inFlight);
+        const double time = load * m_capacity.slowness(vm, now) / m_health.loadFraction(vm, now);
+        // The smallest of exponential variables with means t^k belongs to each server in proportion to t^-k.
+        const double variable = -std::log(1.0 - target.rank->dither);
+        target.cost = std::pow(time, expectedTimeExponent) * variable;
+    }
+}
+
+void BackendSelector::redrawCompetitors(const Server &server)
+{
+    for (auto &[vm, other] : m_servers) {
+        if (other.candidate.service == server.candidate.service) {
+            for (auto &rank : other.ranks) {
+                rank.dither = m_random.nextUnit();
+            }
+        }
+    }
+}
+
 Choice BackendSelector::pick(const std::vector<Target> &targets, const RouteRequest &request) const
 {
     const auto cheapest = std::min_element(
@@ -379,11 +473,16 @@
 void BackendSelector::updateTrackedServers()
 {
     std::vector<core::VmId> vms;
+    std::vector<EstimatedServer> estimated;
     for (const auto &[vm, server] : m_servers) {
         vms.push_back(vm);
+        if (server.candidate.hasAdaptiveCapacity) {
+            estimated.push_back({vm, server.candidate.service, server.candidate.incarnation});
+        }
     }
     m_health.setServers(vms);
     m_speed.setServers(vms);
+    m_capacity.setServers(estimated);
 }
 
 void BackendSelector::recordSent(double work, core::TimePoint now)
