Forwarding: plain backend servers chosen and limited by their response times

Setting adaptiveCapacity of EntryServerSettings, off by default. A response time runs from the write of the request to the head of its answer, a status of 5xx included; answers that say "not run" or that come from another backend server give none.

--- a/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
@@ -57,6 +57,8 @@
     void end(Outcome outcome, core::TimePoint now);
 
 private:
+    void recordResponseTime();
+
     ForwardingResources m_resources;
     const decisions::attempts::AttemptNumber m_number;
     const ReservedBackend m_reserved;
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -76,7 +76,17 @@
     void apply(const decisions::membership::DirectoryChanges &changes, core::TimePoint now);
     /// Models of the services whose backend servers belong to rank groups: a new backend server gets requests once its
     /// group is known to step, or after a timeout without a status update.
-    void setModels(std::map<core::ServiceId, ModelShape> models) { m_models = std::move(models); }
+    void setModels(std::map<core::ServiceId, ModelShape> models);
+    /// Backend servers of the other services are chosen by their response times, and their capacity is estimated from
+    /// these.
+    void enableAdaptiveCapacity();
+    /// The VM of this entry was suspended.
+    void suspended(core::TimePoint now) { m_selector.suspended(now); }
+    const decisions::routing::CapacityEstimator &capacity() const { return m_selector.capacity(); }
+    bool isAdaptive(const RegisteredBackend &backend) const
+    {
+        return m_isAdaptive && !m_models.contains(backend.service);
+    }
     /// Whether the first status update of a backend server of such a service is still awaited.
     bool isAwaitingStatus(const RegisteredBackend &backend, core::TimePoint now) const;
     /// Whether the side of a backend server has sent status updates, but not recently: its VM may be gone or suspended.
@@ -91,6 +101,10 @@
     /// backend servers are saturated, back off after a refusal, or belong to groups that do not step.
     core::Result<ChosenBackend> selectBackend(const BackendRequirements &request, AttemptId attempt,
                                               core::TimePoint now);
+    /// The request is written to its connection.
+    void recordWritten(AttemptId attempt, core::TimePoint now) { m_selector.requestWritten(attempt, now); }
+    /// The head of the answer has arrived, whatever its status.
+    void recordAnswerHead(AttemptId attempt, core::TimePoint now) { m_selector.answerBegan(attempt, now); }
     void recordFirstEvent(AttemptId attempt, std::uint64_t promptTokens, core::TimePoint now);
     /// Records a further event of a stream, `interval` after the one before.
     void recordNextEvent(AttemptId attempt, core::Duration interval, core::TimePoint now);
@@ -166,6 +180,7 @@
 
     const core::DataCentreId m_localDataCentre;
     std::size_t m_entries = 1;
+    bool m_isAdaptive = false;
     std::map<BackendId, RegisteredBackend> m_backends;
     std::map<BackendId, asio::ip::tcp::endpoint> m_endpoints;
     std::map<BackendId, BackendState> m_states;
@@ -181,6 +196,9 @@
     decisions::intake::TurnAways m_turnAways;
 };
 
+/// The name of a backend server in a BackendSelector.
+core::VmId selectorId(const BackendId &id);
+
 /// Parses an endpoint of the form `IPv4 address:port`.
 std::optional<asio::ip::tcp::endpoint> endpointFrom(std::string_view text);
 
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheelanding/decisions/membership/entrydrain.h"
+#include "lycheelanding/forwarding/capacityreporter.h"
 #include "lycheelanding/forwarding/forwardedexchange.h"
 #include "lycheelanding/forwarding/waitingrequests.h"
 
@@ -23,6 +24,8 @@
     SharedRetryBudget retryBudget;
     decisions::membership::EntryDrainSettings drain;
     std::size_t maxConnections = 4096;
+    /// Whether plain backend servers are chosen and limited by their response times.
+    bool adaptiveCapacity = false;
 };
 
 /// An entry on the direct path: accepts requests of callers and forwards them to backend servers. Used on the thread of
@@ -43,7 +46,13 @@
         m_backends.setPosition(position, m_clock.now());
     }
     /// Sends waiting requests for which there is capacity now; to be called often.
-    void sendWaitingRequests() { m_waiting.advance(m_clock.now()); }
+    void sendWaitingRequests()
+    {
+        m_waiting.advance(m_clock.now());
+        m_capacityReporter.advance(m_clock.now());
+    }
+    /// The VM was suspended: running requests say nothing about the speed of backend servers.
+    void suspended() { m_backends.suspended(m_clock.now()); }
     /// Resumes streams of inactive backend servers elsewhere; to be called several times a second.
     void replaceInactiveAttempts();
     /// The registry has been read completely at least once.
@@ -86,6 +95,7 @@
     AttemptId m_lastAttempt;
     std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> m_resumableStreams;
     IntakeTracker m_intakeTracker;
+    CapacityReporter m_capacityReporter;
     RequestGuard m_requestGuard;
     std::function<void(const BackendId &)> m_onLeaving;
     const std::function<void(const BackendId &)> m_backendLeaves;
--- a/packages/forwarding/src/backendattempt.cpp
+++ b/packages/forwarding/src/backendattempt.cpp
@@ -35,6 +35,7 @@
 void BackendAttempt::send(const http::HttpRequest &request, ForwardedFields fields, http::AnswerHandlers handlers)
 {
     m_sentAt = m_clock.now();
+    m_resources.backends.recordWritten(m_reserved.attempt, m_sentAt);
     fields.expectedBackend = backend().text();
     const auto name = request.headers.find(m_resources.names.attempt).value_or(std::string());
     handlers.matchesRequest = [resources = m_resources, backend = backend().text(), name,
@@ -58,6 +59,7 @@
 {
     m_answerClass = classifyAnswer(head, m_resources.names);
     m_head = std::move(head);
+    recordResponseTime();
     // A misdirected answer comes from another backend server.
     if (m_answerClass != AnswerClass::Misdirected && isLeaving(m_head, m_resources.names)) {
         m_resources.onLeaving(backend());
@@ -66,6 +68,14 @@
         {backend(), m_reserved.backend.startedAtMs, m_startedAt, m_sentAt, m_answerClass}, m_head, m_resources.names);
 }
 
+void BackendAttempt::recordResponseTime()
+{
+    // Other answers show nothing of the time that the backend server needs for a request.
+    if (m_answerClass == AnswerClass::Valid || m_answerClass == AnswerClass::Failure) {
+        m_resources.backends.recordAnswerHead(m_reserved.attempt, m_clock.now());
+    }
+}
+
 void BackendAttempt::recordBodyPart(std::uint64_t promptTokens, std::optional<core::Duration> interval,
                                     core::TimePoint now)
 {
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -62,13 +62,13 @@
     return settings;
 }
 
+} // namespace
+
 core::VmId selectorId(const BackendId &id)
 {
     return core::VmId(id.text());
 }
 
-} // namespace
-
 std::optional<asio::ip::tcp::endpoint> endpointFrom(std::string_view text)
 {
     const auto colon = text.rfind(':');
@@ -153,6 +153,20 @@
     m_intake.setPosition(position, now);
 }
 
+void BackendSet::setModels(std::map<core::ServiceId, ModelShape> models)
+{
+    m_models = std::move(models);
+    if (m_isAdaptive) {
+        updateCandidates();
+    }
+}
+
+void BackendSet::enableAdaptiveCapacity()
+{
+    m_isAdaptive = true;
+    updateCandidates();
+}
+
 void BackendSet::updateCandidates()
 {
     std::vector<decisions::routing::BackendCandidate> candidates;
@@ -161,6 +175,8 @@
         candidate.vm = selectorId(id);
         candidate.dataCentre = backend.dataCentre;
         candidate.service = backend.service;
+        candidate.hasAdaptiveCapacity = isAdaptive(backend);
+        candidate.incarnation = backend.startedAtMs;
         candidates.push_back(std::move(candidate));
     }
     m_selector.setCandidates(std::move(candidates));
@@ -252,7 +268,10 @@
 {
     const auto entries = static_cast<double>(std::max<std::size_t>(m_entries, 1));
     const double share = static_cast<double>(backend.slots) * ownShareOfSlots / entries;
-    return std::max(1.0, std::max(share, minOwnCapacity) * m_selector.loadFraction(selectorId(backend.id), now));
+    const auto vm = selectorId(backend.id);
+    const double capacity = std::max(1.0, std::max(share, minOwnCapacity) * m_selector.loadFraction(vm, now));
+    const auto limit = m_selector.capacity().limit(vm, now);
+    return limit ? std::min(capacity, static_cast<double>(*limit)) : capacity;
 }
 
 bool BackendSet::canAccept(const RegisteredBackend &backend, const BackendRequirements &request,
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -38,15 +38,20 @@
     : m_context(context), m_settings(std::move(settings)), m_log(log),
       m_backends(m_settings.dataCentre, core::stableHash(m_settings.processName)),
       m_retries(m_settings.retryBudget, core::stableHash(m_settings.processName)), m_pool(idleConnectionTimeout),
-      m_intakeTracker(m_backends, m_log, m_metrics), m_requestGuard(context, core::stableHash(m_settings.processName),
-                                                                    m_log, m_metrics, [this] { cancelHeldAttempts(); }),
+      m_intakeTracker(m_backends, m_log, m_metrics), m_capacityReporter(m_backends, m_log, m_metrics),
+      m_requestGuard(context, core::stableHash(m_settings.processName), m_log, m_metrics,
+                     [this] { cancelHeldAttempts(); }),
       m_backendLeaves([this](const BackendId &id) { backendLeaves(id); }), m_earlyTimer(context),
       m_drain(m_settings.drain), m_drainTimer(context),
       m_callerServer(context, serverSettings(m_settings.callerEndpoint, m_settings.maxConnections),
                      [this](const auto &exchange) { handleRequest(exchange); }),
       m_readinessServer(context, serverSettings(m_settings.readinessEndpoint, m_settings.maxConnections),
                         [this](const auto &exchange) { handleReadiness(exchange); })
-{ }
+{
+    if (m_settings.adaptiveCapacity) {
+        m_backends.enableAdaptiveCapacity();
+    }
+}
 
 EntryServer::~EntryServer() = default;
 
--- a/packages/forwarding/tests/backendcapacitytest.cpp
+++ b/packages/forwarding/tests/backendcapacitytest.cpp
@@ -71,4 +71,36 @@
     EXPECT_TRUE(entry.send(3, start + 121ms));
 }
 
+// Plain backend servers had a fixed share of the slots, whatever their answers said.
+TEST(BackendCapacity, refusalLimitsAPlainBackendServerOnlyWithAdaptiveCapacity)
+{
+    for (const bool isAdaptive : {false, true}) {
+        EntryOfSeveral entry;
+        if (isAdaptive) {
+            entry.backends.enableAdaptiveCapacity();
+        }
+        ASSERT_TRUE(entry.send(1, start));
+        entry.backends.recordWritten(AttemptId(1), start);
+        entry.backends.recordAttemptEnd(AttemptId(1), Outcome::Refused, start + 5ms);
+        EXPECT_TRUE(entry.send(2, start + 200ms));
+        EXPECT_EQ(entry.send(3, start + 201ms), !isAdaptive) << "two places, or one after the refusal";
+    }
+}
+
+TEST(BackendCapacity, responseTimesAreRecordedOnlyForPlainServicesWithAdaptiveCapacity)
+{
+    for (const bool isPlain : {false, true}) {
+        EntryOfSeveral entry;
+        entry.backends.enableAdaptiveCapacity();
+        if (!isPlain) {
+            entry.backends.setModels({{drafts, ModelShape()}});
+        }
+        ASSERT_TRUE(entry.send(1, start + 2s));
+        entry.backends.recordWritten(AttemptId(1), start + 2s);
+        entry.backends.recordAnswerHead(AttemptId(1), start + 3s);
+        entry.backends.recordAttemptEnd(AttemptId(1), Outcome::Answered, start + 3s);
+        EXPECT_EQ(entry.backends.capacity().acceptedSamples(), isPlain ? 1U : 0U);
+    }
+}
+
 } // namespace lycheelanding::forwarding
--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -23,6 +23,8 @@
     BackendLimitsStated,
     BackendTurnAways,
     RequestsSentInPauses,
+    ResponseTimeSamples,
+    ResponseTimeSamplesDropped,
     // Answers between processes
     AnswersComplete,
     AnswersBroken,
@@ -85,6 +87,8 @@
     Draining,
     RequestsInFlight,
     RequestsQueued,
+    BackendsSlow,
+    BackendsLimited,
     PeersConnected,
     MapVersion,
     Count,
