Tests of adaptive capacity through the entry; a limit never shrinks before its time

The limit of a time before its last change was negative times the growth and could be converted from a negative number. Times in an entry do not go back, so only a direct call could meet it; the elapsed time now has a lower bound of 0.

--- a/packages/decisions/src/routing/capacityestimator.cpp
+++ b/packages/decisions/src/routing/capacityestimator.cpp
@@ -225,7 +225,8 @@
     if (!server.limit) {
         return std::nullopt;
     }
-    const double limit = *server.limit * (1.0 + growthPerSecond * secondsOf(now - server.limitedAt));
+    const double elapsed = std::max(0.0, secondsOf(now - server.limitedAt));
+    const double limit = *server.limit * (1.0 + growthPerSecond * elapsed);
     const bool hasEffect = limit < unusedFactor * std::max(server.inProgress.mean, 1.0);
     return hasEffect ? std::optional(limit) : std::nullopt;
 }
--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -146,8 +146,8 @@
 {
 public:
     /// Log lines are written to the descriptor; -1 discards them.
-    explicit EntrySimulation(int logDescriptor = -1)
-        : m_log(logDescriptor, "entry"), m_entry(m_context, settings(), m_log)
+    explicit EntrySimulation(int logDescriptor = -1, bool adaptiveCapacity = false)
+        : m_log(logDescriptor, "entry"), m_entry(m_context, settings(adaptiveCapacity), m_log)
     {
         isStarted = core::isOk(m_entry.start());
         m_entry.setLeavingHandler([this](const BackendId &id) { reportedLeaving.push_back(id); });
@@ -269,7 +269,7 @@
         }
     }
 
-    static EntryServerSettings settings()
+    static EntryServerSettings settings(bool adaptiveCapacity)
     {
         EntryServerSettings settings;
         const auto address = asio::ip::make_address("127.0.0.1");
@@ -288,6 +288,7 @@
         settings.names.promptParts = "Parts";
         settings.names.leaving = "Leaving";
         settings.names.requestLimit = "Limit";
+        settings.adaptiveCapacity = adaptiveCapacity;
         return settings;
     }
 
