--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -38,8 +38,9 @@
     : m_context(context), m_settings(std::move(settings)), m_log(log),
       m_backends(m_settings.dataCentre, core::stableHash(m_settings.processName)),
       m_retries(m_settings.retryBudget, core::stableHash(m_settings.processName)), m_pool(idleConnectionTimeout),
-      m_intakeTracker(m_backends, m_log, m_metrics), m_requestGuard(context, core::stableHash(m_settings.processName),
-                                                                    m_log, m_metrics, [this] { cancelHeldAttempts(); }),
+      m_intakeTracker(m_backends, m_log, m_metrics), m_capacityReporter(m_backends, m_log, m_metrics),
+      m_requestGuard(context, core::stableHash(m_settings.processName), m_log, m_metrics,
+                     [this] { cancelHeldAttempts(); }),
       m_backendLeaves([this](const BackendId &id) { backendLeaves(id); }), m_earlyTimer(context),
       m_drain(m_settings.drain), m_drainTimer(context),
       m_callerServer(context, serverSettings(m_settings.callerEndpoint, m_settings.maxConnections),
@@ -48,6 +49,9 @@
                         [this](const auto &exchange) { handleReadiness(exchange); })
 {
     m_intakeTracker.cold().setBounds(m_settings.coldBounds);
+    if (m_settings.adaptiveCapacity) {
+        m_backends.enableAdaptiveCapacity();
+    }
 }
 
 EntryServer::~EntryServer() = default;
--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -25,6 +25,8 @@
     RequestsSentInPauses,
     BackendColdStarts,
     ColdTimesInvalid,
+    ResponseTimeSamples,
+    ResponseTimeSamplesDropped,
     // Answers between processes
     AnswersComplete,
     AnswersBroken,
@@ -87,6 +89,8 @@
     Draining,
     RequestsInFlight,
     RequestsQueued,
+    BackendsSlow,
+    BackendsLimited,
     PeersConnected,
     MapVersion,
     BackendsCold,
