--- a/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
+++ b/packages/decisions/include/lycheelanding/decisions/distribution/prefixfollower.h
@@ -75,6 +75,8 @@
 struct KeysListed
 {
     std::vector<KeyValue> keyValues;
+    /// Revision of the store when the first page was read.
+    std::uint64_t atRevision = 0;
 };
 struct KeyWritten
 {
@@ -83,6 +85,7 @@
 struct KeyRemoved
 {
     std::string key;
+    std::uint64_t revision = 0;
 };
 /// The store does not answer; known keys may be out of date from now on.
 struct ContactLost
--- a/packages/decisions/src/distribution/prefixfollower.cpp
+++ b/packages/decisions/src/distribution/prefixfollower.cpp
@@ -44,6 +44,7 @@
 void PrefixFollower::finishListing(core::TimePoint now, FollowerActions &actions)
 {
     KeysListed listed;
+    listed.atRevision = m_revision;
     std::map<std::string, std::uint64_t> revisions;
     for (auto &[key, keyValue] : m_listing) {
         revisions.emplace(key, keyValue.revision);
@@ -75,7 +76,7 @@
         const auto known = m_revisions.find(removed.key);
         if (known != m_revisions.end() && removed.revision > known->second) {
             m_revisions.erase(known);
-            actions.emplace_back(KeyRemoved{removed.key});
+            actions.emplace_back(KeyRemoved{removed.key, removed.revision});
         }
     }
     m_revision = std::max(m_revision, events.atRevision);
