Entries send nothing to backend servers of evacuated data centres

Operators write a key below op/evacuate/ to have a data centre left alone.

BackendSet is asked by every path: candidates of evacuated data centres stay in the selector with their load and health and serve no request, so that probes, returns after a pause, the panic threshold, pauses and limits leave them out; a backend server chosen before is checked again when its connection is open. Where all of a service are evacuated, requests are refused at once with dataCentresEvacuated, waiting ones too.

Ruled out: to report them as unusable, as BackendDirectory does for servers that leave; their health, load and pauses would be forgotten, and a failing one would come back as a sound one.

--- a/packages/control/src/private/requesttimeline.cpp
+++ b/packages/control/src/private/requesttimeline.cpp
@@ -15,10 +15,10 @@
 using Json = nlohmann::ordered_json;
 
 /// Events that can affect every request in progress.
-constexpr std::array<std::string_view, 10> generalEvents{
-    "mapSwitchBegun", "mapSwitchWithdrawn",    "commandRepeated", "leading",
-    "leadershipLost", "engineSilent",          "resumed",         "storeLost",
-    "draining",       "configurationInstalled"};
+constexpr std::array<std::string_view, 12> generalEvents{
+    "mapSwitchBegun", "mapSwitchWithdrawn",     "commandRepeated",   "leading",
+    "leadershipLost", "engineSilent",           "resumed",           "storeLost",
+    "draining",       "configurationInstalled", "dataCentreEmptied", "dataCentreTakenBack"};
 
 std::string textOf(const Json &fields, const char *name)
 {
--- a/packages/core/include/lycheelanding/core/errorkind.h
+++ b/packages/core/include/lycheelanding/core/errorkind.h
@@ -42,9 +42,10 @@
     RequestHeld,
     TurnedAway,
     AnswerMalformed,
+    DataCentresEvacuated,
 };
 
-inline constexpr std::size_t errorKindCount = static_cast<std::size_t>(ErrorKind::AnswerMalformed) + 1;
+inline constexpr std::size_t errorKindCount = static_cast<std::size_t>(ErrorKind::DataCentresEvacuated) + 1;
 
 /// Whether the request reached its backend server, as answers report it to the caller.
 enum class Ran : std::uint8_t {
--- a/packages/core/src/errorkind.cpp
+++ b/packages/core/src/errorkind.cpp
@@ -40,6 +40,8 @@
     {ErrorKind::RequestHeld, "requestHeld", 503, Ran::No, true, "Such requests crash backend servers"},
     {ErrorKind::TurnedAway, "turnedAway", 503, Ran::No, true, "All backend servers have asked for a pause"},
     {ErrorKind::AnswerMalformed, "answerMalformed", 502, Ran::Unknown, false, "The answer breaks the protocol"},
+    {ErrorKind::DataCentresEvacuated, "dataCentresEvacuated", 503, Ran::No, true,
+     "All backend servers are in evacuated data centres"},
 }};
 
 constexpr std::array<NameEntry<Ran>, 3> ranNames{{
--- a/packages/decisions/include/lycheelanding/decisions/routing/backendcandidate.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/backendcandidate.h
@@ -24,6 +24,8 @@
     core::GroupId group;
     /// Ranks of the backend server; empty if the service has no ranks.
     std::vector<core::RankIndex> ranks;
+    /// Its data centre is evacuated: it gets no requests, and counts as absent for all others.
+    bool isEvacuated = false;
 };
 
 } // namespace lycheelanding::decisions::routing
--- a/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
@@ -46,7 +46,7 @@
 public:
     BackendSelector(SelectorSettings settings, std::uint64_t seed);
 
-    /// Whether the candidate has the service, or the model, version and adapter, of the request.
+    /// Whether the candidate has the service, or the model, version and adapter, of the request, and is not evacuated.
     static bool serves(const BackendCandidate &candidate, const RouteRequest &request);
 
     /// Replaces the candidates; those that remain keep their load and health.
--- a/packages/decisions/src/routing/backendselector.cpp
+++ b/packages/decisions/src/routing/backendselector.cpp
@@ -203,7 +203,7 @@
 
 bool BackendSelector::serves(const BackendCandidate &candidate, const RouteRequest &request)
 {
-    return candidate.service == request.service && candidate.model == request.model
+    return !candidate.isEvacuated && candidate.service == request.service && candidate.model == request.model
         && (!request.version || contains(candidate.versions, *request.version))
         && (!request.adapter || contains(candidate.adapters, *request.adapter));
 }
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -5,6 +5,7 @@
 #include "lycheelanding/decisions/intake/backendintake.h"
 #include "lycheelanding/decisions/intake/turnaways.h"
 #include "lycheelanding/decisions/membership/backenddirectory.h"
+#include "lycheelanding/decisions/membership/evacuateddatacentres.h"
 #include "lycheelanding/decisions/routing/backendselector.h"
 #include "lycheelanding/forwarding/forwardingconfiguration.h"
 #include "lycheelanding/forwarding/passdurationmodel.h"
@@ -15,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -74,6 +76,17 @@
 
     /// Backend servers whose address is not an IPv4 address and a port are ignored.
     void apply(const decisions::membership::DirectoryChanges &changes, core::TimePoint now);
+    /// Backend servers in evacuated data centres keep their load and health, and get no requests.
+    void apply(const decisions::membership::EvacuationChanges &changes);
+    bool isEvacuated(const RegisteredBackend &backend) const { return m_evacuated.contains(backend.dataCentre); }
+    std::size_t evacuatedCount() const { return m_evacuated.size(); }
+    /// The error of a request to a service all of whose backend servers are in evacuated data centres; nullopt for
+    /// others.
+    std::optional<core::Error> evacuationError(const core::ServiceId &service, std::string_view attemptName) const;
+    /// The error of a request that no backend server takes within its waiting time, as evacuationError() or
+    /// turnAwayError() says; nullopt for others.
+    std::optional<core::Error> unservableError(const core::ServiceId &service, const WaitLimits &limits,
+                                               std::string_view attemptName, core::TimePoint now) const;
     /// Models of the services whose backend servers belong to rank groups: a new backend server gets requests once its
     /// group is known to step, or after a timeout without a status update.
     void setModels(std::map<core::ServiceId, ModelShape> models) { m_models = std::move(models); }
@@ -111,7 +124,8 @@
     /// Whether a request may still be sent to the backend server that was chosen for it some time before.
     bool isStillUsable(const ChosenBackend &chosen, core::TimePoint now) const
     {
-        return m_backends.contains(chosen.id) && !pauseOf(chosen.id, chosen.startedAtMs, now);
+        const auto found = m_backends.find(chosen.id);
+        return found != m_backends.end() && !isEvacuated(found->second) && !pauseOf(chosen.id, chosen.startedAtMs, now);
     }
     /// The earliest time at which a backend server of the service takes requests again; nullopt unless all of them have
     /// turned this entry away.
@@ -167,6 +181,7 @@
     const core::DataCentreId m_localDataCentre;
     std::size_t m_entries = 1;
     std::map<BackendId, RegisteredBackend> m_backends;
+    std::set<core::DataCentreId> m_evacuated;
     std::map<BackendId, asio::ip::tcp::endpoint> m_endpoints;
     std::map<BackendId, BackendState> m_states;
     std::map<core::ServiceId, ModelShape> m_models;
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "lycheelanding/decisions/distribution/storeera.h"
 #include "lycheelanding/decisions/membership/entrydrain.h"
+#include "lycheelanding/decisions/membership/evacuateddatacentres.h"
 #include "lycheelanding/forwarding/forwardedexchange.h"
 #include "lycheelanding/forwarding/waitingrequests.h"
 
@@ -37,6 +39,10 @@
     /// Installs a version of the configuration; ignores it unless it is newer than the active one.
     void installConfiguration(ForwardingConfiguration configuration);
     void applyBackendChanges(const decisions::membership::DirectoryChanges &changes);
+    /// From now on nothing is sent to the backend servers of evacuated data centres; running requests go on. `era`: the
+    /// era of the store that reported the changes.
+    void applyEvacuations(const decisions::membership::EvacuationChanges &changes,
+                          decisions::distribution::StoreEra era);
     void updateBackendLoad(const BackendId &id, const BackendLoad &load);
     void setPosition(const decisions::membership::EntryPosition &position)
     {
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -161,6 +161,7 @@
         candidate.vm = selectorId(id);
         candidate.dataCentre = backend.dataCentre;
         candidate.service = backend.service;
+        candidate.isEvacuated = isEvacuated(backend);
         candidates.push_back(std::move(candidate));
     }
     m_selector.setCandidates(std::move(candidates));
@@ -387,7 +388,7 @@
     double perSecond = 0.0;
     bool isKnownService = false;
     for (const auto &[id, backend] : m_backends) {
-        if (backend.service != service) {
+        if (backend.service != service || isEvacuated(backend)) {
             continue;
         }
         const auto allowedHere = m_intake.allowedUntil(id, until, now);
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -88,7 +88,7 @@
 {
     const auto held = m_resources.requestGuard.holdError(m_terms.features);
     const auto error
-        = held ? held : m_resources.backends.turnAwayError(m_terms.service, m_limits, m_attemptName, now());
+        = held ? held : m_resources.backends.unservableError(m_terms.service, m_limits, m_attemptName, now());
     if (error) {
         execute(m_attempts->giveUp(*error));
     }
--- a/packages/forwarding/src/refusal.cpp
+++ b/packages/forwarding/src/refusal.cpp
@@ -69,8 +69,10 @@
 core::Error withRetryAfter(const core::Error &error, core::Duration timeLeft)
 {
     core::Error result = error;
-    // Requests of these kinds are refused until then, however little time the caller has left.
-    const bool isFixed = error.kind == core::ErrorKind::RequestHeld || error.kind == core::ErrorKind::TurnedAway;
+    // Requests of these kinds are refused until then, however little time the caller has left. The end of an evacuation
+    // is not known; earlier repeats would most likely be refused again.
+    const bool isFixed = error.kind == core::ErrorKind::RequestHeld || error.kind == core::ErrorKind::TurnedAway
+        || error.kind == core::ErrorKind::DataCentresEvacuated;
     if (isFixed && error.retryAfter) {
         return result;
     }
--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -172,20 +172,21 @@
         m_entry.installConfiguration(configuration);
     }
 
-    FakeBackend &addBackend(FakeBackend::Script script)
+    FakeBackend &addBackend(FakeBackend::Script script, const std::string &dataCentre = {})
     {
         m_backends.push_back(std::make_unique<FakeBackend>(m_context, std::move(script)));
-        addAddress("backend-" + std::to_string(m_backends.size()), m_backends.back()->address());
+        addAddress("backend-" + std::to_string(m_backends.size()), m_backends.back()->address(), dataCentre);
         return *m_backends.back();
     }
 
     /// Registers a backend server of the test's own.
-    void addAddress(const std::string &id, const std::string &address)
+    void addAddress(const std::string &id, const std::string &address, const std::string &dataCentre = {})
     {
         decisions::membership::RegisteredBackend backend;
         backend.id = BackendId(id);
         backend.service = core::ServiceId("app");
         backend.address = address;
+        backend.dataCentre = core::DataCentreId(dataCentre);
         m_entry.applyBackendChanges({decisions::membership::BackendUsable{backend}});
         m_entry.backendsListed();
     }
--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -48,6 +48,9 @@
     StoreErasChanged,
     StoreAnswersOutsideEra,
     RegistrationsUnreadable,
+    DataCentresEmptied,
+    DataCentresTakenBack,
+    EvacuationsUnexpected,
     // Membership and shutdown
     PeersLost,
     PeersDraining,
@@ -87,6 +90,7 @@
     RequestsQueued,
     PeersConnected,
     MapVersion,
+    EvacuatedDataCentres,
     Count,
 };
 
--- a/packages/report/src/counters.cpp
+++ b/packages/report/src/counters.cpp
@@ -71,6 +71,10 @@
      {"store_answers_outside_era", "Answers of the store dropped as they are of no current era"}},
     {Counter::RegistrationsUnreadable,
      {"registrations_unreadable", "Registrations of backend servers that could not be read"}},
+    {Counter::DataCentresEmptied, {"data_centres_emptied", "Evacuations of data centres begun"}},
+    {Counter::DataCentresTakenBack, {"data_centres_taken_back", "Evacuations of data centres ended"}},
+    {Counter::EvacuationsUnexpected,
+     {"evacuations_unexpected", "Evacuation requests with an unexpected name or value"}},
     {Counter::PeersLost, {"peers_lost", "Peers whose heartbeats ceased"}},
     {Counter::PeersDraining, {"peers_draining", "Peers that were seen to begin draining"}},
     {Counter::RequestsRefusedByDraining, {"requests_refused_by_draining", "Requests refused by a draining process"}},
@@ -105,6 +109,7 @@
     {Gauge::RequestsQueued, {"requests_queued", "Requests that wait"}},
     {Gauge::PeersConnected, {"peers_connected", "Connections to other processes"}},
     {Gauge::MapVersion, {"map_version", "Expert map version in force"}},
+    {Gauge::EvacuatedDataCentres, {"evacuated_data_centres", "Data centres that are evacuated"}},
 }});
 
 constexpr auto latencies = textsInOrder<Latency, latencyCount>({{
