--- a/packages/decisions/include/lycheelanding/decisions/routing/backendcandidate.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/backendcandidate.h
@@ -28,6 +28,8 @@
     bool hasAdaptiveCapacity = false;
     /// Differs between the incarnations of a backend server.
     std::uint64_t incarnation = 0;
+    /// Its data centre is evacuated: it gets no requests, and counts as absent for all others.
+    bool isEvacuated = false;
 };
 
 } // namespace lycheelanding::decisions::routing
--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -5,6 +5,7 @@
 #include "lycheelanding/decisions/intake/backendintake.h"
 #include "lycheelanding/decisions/intake/turnaways.h"
 #include "lycheelanding/decisions/membership/backenddirectory.h"
+#include "lycheelanding/decisions/membership/evacuateddatacentres.h"
 #include "lycheelanding/decisions/routing/backendselector.h"
 #include "lycheelanding/forwarding/forwardingconfiguration.h"
 #include "lycheelanding/forwarding/passdurationmodel.h"
@@ -15,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -78,6 +80,17 @@
 
     /// Backend servers whose address is not an IPv4 address and a port are ignored.
     void apply(const decisions::membership::DirectoryChanges &changes, core::TimePoint now);
+    /// Backend servers in evacuated data centres keep their load and health, and get no requests.
+    void apply(const decisions::membership::EvacuationChanges &changes);
+    bool isEvacuated(const RegisteredBackend &backend) const { return m_evacuated.contains(backend.dataCentre); }
+    std::size_t evacuatedCount() const { return m_evacuated.size(); }
+    /// The error of a request to a service all of whose backend servers are in evacuated data centres; nullopt for
+    /// others.
+    std::optional<core::Error> evacuationError(const core::ServiceId &service, std::string_view attemptName) const;
+    /// The error of a request that no backend server takes within its waiting time, as evacuationError() or
+    /// turnAwayError() says; nullopt for others.
+    std::optional<core::Error> unservableError(const core::ServiceId &service, const WaitLimits &limits,
+                                               std::string_view attemptName, core::TimePoint now) const;
     /// Models of the services whose backend servers belong to rank groups: a new backend server gets requests once its
     /// group is known to step, or after a timeout without a status update.
     void setModels(std::map<core::ServiceId, ModelShape> models);
@@ -129,8 +142,10 @@
     /// Whether a request may still be sent to the backend server that was chosen for it some time before.
     bool isStillUsable(const ChosenBackend &chosen, core::TimePoint now) const
     {
+        const auto found = m_backends.find(chosen.id);
         const bool needsTurn = !chosen.isCold && m_intake.isCold(chosen.id, now);
-        return m_backends.contains(chosen.id) && !needsTurn && !pauseOf(chosen.id, chosen.startedAtMs, now);
+        return found != m_backends.end() && !isEvacuated(found->second) && !needsTurn
+            && !pauseOf(chosen.id, chosen.startedAtMs, now);
     }
     /// The earliest time at which a backend server of the service takes requests again; nullopt unless all of them have
     /// turned this entry away.
@@ -187,6 +202,7 @@
     std::size_t m_entries = 1;
     bool m_isAdaptive = false;
     std::map<BackendId, RegisteredBackend> m_backends;
+    std::set<core::DataCentreId> m_evacuated;
     std::map<BackendId, asio::ip::tcp::endpoint> m_endpoints;
     std::map<BackendId, BackendState> m_states;
     std::map<core::ServiceId, ModelShape> m_models;
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -177,6 +177,7 @@
         candidate.service = backend.service;
         candidate.hasAdaptiveCapacity = isAdaptive(backend);
         candidate.incarnation = backend.startedAtMs;
+        candidate.isEvacuated = isEvacuated(backend);
         candidates.push_back(std::move(candidate));
     }
     m_selector.setCandidates(std::move(candidates));
@@ -409,7 +410,7 @@
     double perSecond = 0.0;
     bool isKnownService = false;
     for (const auto &[id, backend] : m_backends) {
-        if (backend.service != service) {
+        if (backend.service != service || isEvacuated(backend)) {
             continue;
         }
         const auto allowedHere = m_intake.allowedUntil(id, until, now);
--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -52,6 +52,9 @@
     StoreErasChanged,
     StoreAnswersOutsideEra,
     RegistrationsUnreadable,
+    DataCentresEmptied,
+    DataCentresTakenBack,
+    EvacuationsUnexpected,
     // Membership and shutdown
     PeersLost,
     PeersDraining,
@@ -94,6 +97,7 @@
     PeersConnected,
     MapVersion,
     BackendsCold,
+    EvacuatedDataCentres,
     Count,
 };
 
