Admission: engines get what they can serve in time during shifts of demand

Cause: at peaks of demand all streams were late and none was refused. Places were limited by the present pass duration, although each shift of the demand for experts doubles it within the life of a stream, and the limit was compared with estimates of single ranks, one of which always seemed to have a place.

--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -77,6 +78,9 @@
     /// Models of the services whose backend servers belong to rank groups: a new backend server gets requests once its
     /// group is known to step, or after a timeout without a status update.
     void setModels(std::map<core::ServiceId, ModelShape> models) { m_models = std::move(models); }
+    /// Sends to engines only what can be served within the streams' target interval, also during the next peak of their
+    /// pass duration; requests beyond that wait or are refused.
+    void setAdmitsInTimeOnly(bool admitsInTimeOnly) { m_admitsInTimeOnly = admitsInTimeOnly; }
     /// Whether the first status update of a backend server of such a service is still awaited.
     bool isAwaitingStatus(const RegisteredBackend &backend, core::TimePoint now) const;
     /// Whether the side of a backend server has sent status updates, but not recently: its VM may be gone or suspended.
@@ -155,6 +159,16 @@
     /// Number of requests that may be in progress at the backend server.
     double capacityOf(const RegisteredBackend &backend, const BackendLoad &load, const BackendRequirements &request,
                       core::TimePoint now) const;
+    /// Whether the request's target interval must hold during peaks of the pass duration, too.
+    bool isLimitedByPeak(const BackendRequirements &request) const
+    {
+        return m_admitsInTimeOnly && request.maxEventInterval > core::Duration::zero();
+    }
+    /// Mean number of requests that the ranks of the group may run within the request's target interval.
+    double inTimeCapacityOf(const RegisteredBackend &backend, const core::GroupId &group,
+                            const BackendRequirements &request, core::TimePoint now) const;
+    /// Groups of the service whose ranks run as many requests on average as they can in time.
+    std::set<core::GroupId> fullGroups(const BackendRequirements &request, core::TimePoint now) const;
     /// The same for requests of this entry at a backend server of whose load nothing is reported.
     double ownCapacityOf(const RegisteredBackend &backend, core::TimePoint now) const;
     /// Empty while it is unknown.
@@ -166,6 +180,7 @@
 
     const core::DataCentreId m_localDataCentre;
     std::size_t m_entries = 1;
+    bool m_admitsInTimeOnly = false;
     std::map<BackendId, RegisteredBackend> m_backends;
     std::map<BackendId, asio::ip::tcp::endpoint> m_endpoints;
     std::map<BackendId, BackendState> m_states;
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -23,6 +23,9 @@
     SharedRetryBudget retryBudget;
     decisions::membership::EntryDrainSettings drain;
     std::size_t maxConnections = 4096;
+    /// Engines get only the requests that they can serve within the routes' targets; others are refused early while
+    /// more arrive than can be served.
+    bool admitsInTimeOnly = false;
 };
 
 /// An entry on the direct path: accepts requests of callers and forwards them to backend servers. Used on the thread of
@@ -83,6 +86,7 @@
     RetryBudgets m_retries;
     http::ConnectionPool m_pool;
     WaitingRequests<ForwardedExchange> m_waiting;
+    decisions::admission::QueueForecast m_queueForecast;
     AttemptId m_lastAttempt;
     std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> m_resumableStreams;
     IntakeTracker m_intakeTracker;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -5,6 +5,7 @@
 #include "lycheelanding/forwarding/backendattempt.h"
 #include "lycheelanding/forwarding/calleranswer.h"
 #include "lycheelanding/forwarding/forwardingresources.h"
+#include "lycheelanding/forwarding/overload.h"
 #include "lycheelanding/forwarding/requestterms.h"
 #include "lycheelanding/forwarding/waitlimits.h"
 #include "lycheelanding/http/httpserver.h"
@@ -38,7 +39,8 @@
     /// Ends the current attempt if its prompt is held now and its answer has not begun.
     void cancelHeldAttempt();
     bool isFinished() const { return m_isFinished; }
-    core::TimePoint waitDeadline() const { return m_limits.waitDeadline; }
+    /// When it is given up if no backend server has capacity; earlier for a late request that has no prospect of one.
+    core::TimePoint waitDeadline() const;
     const core::ServiceId &service() const { return m_terms.service; }
     std::uint32_t priority() const { return m_terms.priority; }
     /// Whether its answer can no longer begin within the target latency.
@@ -49,6 +51,7 @@
 
     void startTimer();
     void startAttempt();
+    QueuedRequest queuedRequest() const;
     /// Gives up the request if it is known that no backend server takes it in its time; returns whether it did.
     bool giveUpUnservable();
     std::optional<ReservedBackend> reserveReplacement(const core::Error &error, core::Duration inactivity);
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardingresources.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardingresources.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lycheelanding/decisions/admission/queueforecast.h"
 #include "lycheelanding/forwarding/backendset.h"
 #include "lycheelanding/forwarding/eventlog.h"
 #include "lycheelanding/forwarding/fieldnames.h"
@@ -37,6 +38,9 @@
     IntakeTracker &intakeTracker;
     /// Called when a backend server has said in an answer that it leaves.
     const std::function<void(const BackendId &)> &onLeaving;
+    decisions::admission::QueueForecast &queueForecast;
+    /// Whether a request that has become late is refused while the queue of its service grows.
+    bool admitsInTimeOnly = false;
     /// Requests with a stream that another backend server can resume.
     std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> &resumableStreams;
 };
--- a/packages/forwarding/include/lycheelanding/forwarding/passdurationmodel.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/passdurationmodel.h
@@ -25,9 +25,14 @@
     void endWindow(double meanRunning, core::TimePoint now);
     /// Number of requests that a rank may run with passes of at most `maxPassDuration`; nullopt without recent events.
     std::optional<double> maxRunning(core::Duration maxPassDuration, core::TimePoint now) const;
+    /// The same for passes as slow as the slowest of the last seconds: the number of requests whose passes stay within
+    /// the maximum also when the demand for experts shifts again before they end.
+    std::optional<double> maxRunningAtPeak(core::Duration maxPassDuration, core::TimePoint now) const;
 
 private:
     double baselineSeconds(double running) const;
+    double maxRunningFor(core::Duration maxPassDuration, double slowdown) const;
+    void recordPeak(double slowdown, core::TimePoint now);
 
     StepTimes m_steps;
     /// Intervals of the current window. All streams of a group share its passes, so the median is a pass duration;
@@ -37,6 +42,10 @@
     /// Measured pass duration divided by that of a pass in which only the running requests take time; 0 if unknown.
     double m_slowdown = 0.0;
     core::TimePoint m_updatedAt;
+    /// Largest slowdown of the current and of the previous peak period.
+    double m_peak = 0.0;
+    double m_previousPeak = 0.0;
+    core::TimePoint m_peakPeriodEnd;
 };
 
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/include/lycheelanding/forwarding/refusal.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/refusal.h
@@ -16,6 +16,9 @@
 /// A retry delay of `time` or somewhat more, different for each request: all are told the same time.
 std::chrono::milliseconds spreadRetryAfter(std::chrono::milliseconds time, std::string_view attemptName);
 
+/// The longest retry delay that a caller accepts that waits for another `timeLeft`.
+std::chrono::milliseconds maxRetryAfter(core::Duration timeLeft);
+
 /// The error with its retry delay limited to what a caller accepts that waits for another `timeLeft`. An error that a
 /// retry cannot fix is returned unchanged.
 core::Error withRetryAfter(const core::Error &error, core::Duration timeLeft);
--- a/packages/forwarding/include/lycheelanding/forwarding/waitingrequests.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/waitingrequests.h
@@ -59,6 +59,9 @@
         m_queues[{request->service(), request->priority()}].push_back(std::move(request));
     }
 
+    /// Guarantees each priority a small part of the places that the queue of its service gets.
+    void setGuaranteesShares(bool guaranteesShares) { m_guaranteesShares = guaranteesShares; }
+
     /// Whether a request of the service is waiting that is not late and has this or a more urgent priority.
     bool hasWaiting(const core::ServiceId &service, std::uint32_t priority, core::TimePoint now) const
     {
@@ -83,9 +86,12 @@
             return;
         }
         std::set<core::ServiceId> saturatedServices;
+        if (m_guaranteesShares) {
+            sendGuaranteedShares(now);
+        }
         for (auto &[key, queue] : m_queues) {
             removeFinished(queue, now);
-            if (!saturatedServices.contains(key.first) && !sendAll(queue, now)) {
+            if (!saturatedServices.contains(key.first) && !sendAll(key.first, queue, now)) {
                 saturatedServices.insert(key.first);
             }
         }
@@ -107,6 +113,17 @@
         return count;
     }
 
+    /// Those that have this or a more urgent priority.
+    std::size_t count(const core::ServiceId &service, std::uint32_t priority) const
+    {
+        std::size_t count = 0;
+        for (auto at = m_queues.lower_bound({service, 0});
+             at != m_queues.end() && at->first.first == service && at->first.second <= priority; ++at) {
+            count += at->second.size();
+        }
+        return count;
+    }
+
     std::size_t size() const
     {
         std::size_t count = 0;
@@ -119,8 +136,12 @@
 private:
     using Queue = std::deque<std::shared_ptr<Request>>;
 
+    /// Of the places that a service gets while it has a queue, one in this many goes to a less urgent request than the
+    /// order of priorities demands, so that no priority gets none.
+    static constexpr std::size_t guaranteedShare = 8;
+
     /// Sends requests until there is no capacity; returns false if some remain in the queue.
-    static bool sendAll(Queue &queue, core::TimePoint now)
+    bool sendAll(const core::ServiceId &service, Queue &queue, core::TimePoint now)
     {
         const auto firstInTime
             = std::find_if(queue.begin(), queue.end(), [now](const auto &request) { return !request->isLate(now); });
@@ -131,6 +152,7 @@
             ++sent;
         }
         const bool hasCapacity = sent == queue.size();
+        m_sentByService[service] += sent;
         // Removes the sent requests and restores the order of arrival.
         const auto inTimeLeft = static_cast<std::ptrdiff_t>(inTimeCount - std::min(inTimeCount, sent));
         queue.erase(queue.begin(), queue.begin() + static_cast<std::ptrdiff_t>(sent));
@@ -138,6 +160,36 @@
         return hasCapacity;
     }
 
+    /// Sends one request of a less urgent queue for each service whose more urgent ones have had their places.
+    void sendGuaranteedShares(core::TimePoint now)
+    {
+        std::erase_if(m_sentByService, [this](const auto &item) { return this->count(item.first) == 0; });
+        for (auto &[service, sent] : m_sentByService) {
+            if (sent < guaranteedShare) {
+                continue;
+            }
+            const auto isOfService
+                = [this, &name = service](auto at) { return at != this->m_queues.end() && at->first.first == name; };
+            auto &lastServed = m_lastGuaranteed[service];
+            auto at = m_queues.upper_bound({service, lastServed});
+            if (!isOfService(at)) {
+                at = std::next(m_queues.lower_bound({service, 0}));
+            }
+            if (!isOfService(at)) {
+                continue;
+            }
+            lastServed = at->first.second;
+            auto &queue = at->second;
+            const auto inTime = std::find_if(queue.begin(), queue.end(), [now](const auto &request) {
+                return !request->isFinished() && !request->isLate(now);
+            });
+            if (inTime != queue.end() && (*inTime)->trySend()) {
+                queue.erase(inTime);
+                sent = 0;
+            }
+        }
+    }
+
     static void removeFinished(Queue &queue, core::TimePoint now)
     {
         Queue remaining;
@@ -155,6 +207,11 @@
     }
 
     std::map<std::pair<core::ServiceId, std::uint32_t>, Queue> m_queues;
+    bool m_guaranteesShares = false;
+    /// Requests sent from the queues of a service since a less urgent one was preferred.
+    std::map<core::ServiceId, std::size_t> m_sentByService;
+    /// Priority of the queue that was preferred last.
+    std::map<core::ServiceId, std::uint32_t> m_lastGuaranteed;
     /// Requests added during advance().
     Queue m_added;
     bool m_isAdvancing = false;
--- a/packages/forwarding/include/lycheelanding/forwarding/waitlimits.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/waitlimits.h
@@ -30,6 +30,8 @@
 std::optional<core::Error> inactivityError(const WaitLimits &limits, core::Duration inactivity, bool hasBegun,
                                            bool isVmUnresponsive);
 
-WaitLimits waitLimitsOf(const Route &route, core::TimePoint arrival, core::TimePoint deadline);
+/// `admitsInTimeOnly`: a request becomes late early enough that its first event still meets the target latency.
+WaitLimits waitLimitsOf(const Route &route, core::TimePoint arrival, core::TimePoint deadline,
+                        bool admitsInTimeOnly = false);
 
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -34,6 +34,13 @@
 /// Maximum pass duration in percent of the maximum event interval: the rest covers requests that other entries send at
 /// the same time, prefill, and the transmission of the event.
 constexpr int maxPassPercent = 92;
+/// The same two values where only requests in time are admitted. The peak duration covers what makes passes longer, so
+/// that less of the interval is kept free; a group with an uneven map may need few requests to be in time.
+constexpr int maxPeakPassPercent = 97;
+constexpr double minInTimeCapacityFraction = 0.3;
+/// A rank may run this many times the mean of its group: the passes of a group depend on the sum over its ranks, and
+/// the loads of ranks are only known approximately.
+constexpr double maxRankOverGroupMean = 1.4;
 /// Requests that one entry may have in progress at a backend server of unknown load: this many times an even share of
 /// the slots, as demand is uneven, and a minimum.
 constexpr double ownShareOfSlots = 2.0;
@@ -234,10 +241,41 @@
     return ranks > 0 ? sum / ranks : 0.0;
 }
 
+double BackendSet::inTimeCapacityOf(const RegisteredBackend &backend, const core::GroupId &group,
+                                    const BackendRequirements &request, core::TimePoint now) const
+{
+    const auto slots = static_cast<double>(backend.slots);
+    const auto passModel = m_passModels.find(group);
+    const auto limit = passModel != m_passModels.end()
+        ? passModel->second.maxRunningAtPeak(percentOf(request.maxEventInterval, maxPeakPassPercent), now)
+        : std::nullopt;
+    return std::clamp(limit.value_or(slots * minCapacityFraction), slots * minInTimeCapacityFraction, slots);
+}
+
+std::set<core::GroupId> BackendSet::fullGroups(const BackendRequirements &request, core::TimePoint now) const
+{
+    std::set<core::GroupId> checked;
+    std::set<core::GroupId> full;
+    if (!isLimitedByPeak(request)) {
+        return full;
+    }
+    for (const auto &[id, backend] : m_backends) {
+        const auto group = groupOf(id);
+        const bool isNew = backend.service == request.service && !group.isEmpty() && checked.insert(group).second;
+        if (isNew && meanRunning(group, now) >= inTimeCapacityOf(backend, group, request, now)) {
+            full.insert(group);
+        }
+    }
+    return full;
+}
+
 double BackendSet::capacityOf(const RegisteredBackend &backend, const BackendLoad &load,
                               const BackendRequirements &request, core::TimePoint now) const
 {
     const auto slots = static_cast<double>(backend.slots);
+    if (isLimitedByPeak(request)) {
+        return std::min(inTimeCapacityOf(backend, load.group, request, now) * maxRankOverGroupMean, slots);
+    }
     if (request.acceptsSaturated) {
         return slots + maxQueuedAtEngine;
     }
@@ -292,9 +330,11 @@
         route.excluded.push_back(selectorId(id));
     }
     const auto stalled = stalledGroup(request, now);
+    const auto full = fullGroups(request, now);
     for (const auto &[id, backend] : m_backends) {
         const bool isStalled = !stalled.isEmpty() && groupOf(id) == stalled;
-        if (backend.service == request.service && (isStalled || !canAccept(backend, request, now))) {
+        const bool isFull = !full.empty() && full.contains(groupOf(id));
+        if (backend.service == request.service && (isStalled || isFull || !canAccept(backend, request, now))) {
             route.excluded.push_back(selectorId(id));
         }
     }
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -46,7 +46,10 @@
                      [this](const auto &exchange) { handleRequest(exchange); }),
       m_readinessServer(context, serverSettings(m_settings.readinessEndpoint, m_settings.maxConnections),
                         [this](const auto &exchange) { handleReadiness(exchange); })
-{ }
+{
+    m_backends.setAdmitsInTimeOnly(m_settings.admitsInTimeOnly);
+    m_waiting.setGuaranteesShares(m_settings.admitsInTimeOnly);
+}
 
 EntryServer::~EntryServer() = default;
 
@@ -169,10 +172,21 @@
 
 void EntryServer::forward(const http::HttpExchangePointer &exchange)
 {
-    const ForwardingResources resources{
-        m_context,       m_settings.names, m_backends,        m_retries,     m_pool,
-        m_log,           m_metrics,        m_waiting,         m_lastAttempt, m_requestGuard,
-        m_intakeTracker, m_backendLeaves,  m_resumableStreams};
+    const ForwardingResources resources{m_context,
+                                        m_settings.names,
+                                        m_backends,
+                                        m_retries,
+                                        m_pool,
+                                        m_log,
+                                        m_metrics,
+                                        m_waiting,
+                                        m_lastAttempt,
+                                        m_requestGuard,
+                                        m_intakeTracker,
+                                        m_backendLeaves,
+                                        m_queueForecast,
+                                        m_settings.admitsInTimeOnly,
+                                        m_resumableStreams};
     const auto onFinished = [this] {
         execute(m_drain.requestFinished(m_clock.now()));
         sendWaitingRequests();
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using namespace decisions::attempts;
+using decisions::admission::QueueLevel;
 
 /// Maximum timeout for opening a connection: to another data centre it takes about a millisecond, and a lost first
 /// packet is retransmitted only after one second.
@@ -38,7 +39,8 @@
         return;
     }
     m_terms = core::takeValue(std::move(terms));
-    m_limits = waitLimitsOf(*m_terms.route, m_arrival, m_terms.deadline);
+    m_limits = waitLimitsOf(*m_terms.route, m_arrival, m_terms.deadline, m_resources.admitsInTimeOnly);
+    m_resources.queueForecast.requestArrived(m_terms.service, m_terms.priority, m_arrival);
     const bool isResumable = m_terms.route->kind == RouteKind::Stream && m_terms.route->isResumable;
     m_attempts.emplace(RequestTraits{m_terms.route->isIdempotent(), m_terms.deadline, isResumable});
     if (m_terms.route->kind == RouteKind::Stream) {
@@ -127,18 +129,29 @@
     return reserved.has_value();
 }
 
+QueuedRequest ForwardedExchange::queuedRequest() const
+{
+    // Only streams with a target interval have capacity that is kept free of late requests.
+    const bool isLimited = m_resources.admitsInTimeOnly && m_terms.route->targetEventInterval > core::Duration::zero();
+    const QueueLevel level{m_terms.service, m_terms.priority};
+    const auto waiting = m_resources.waiting.count(level.service, level.priority);
+    return {level, m_limits, m_terms.deadline, m_attemptName, waiting, isLimited && !m_answer.hasBegun()};
+}
+
+core::TimePoint ForwardedExchange::waitDeadline() const
+{
+    return isOutOfReach(queuedRequest(), m_resources.queueForecast, now()) ? m_limits.lateSince : m_limits.waitDeadline;
+}
+
 void ForwardedExchange::onWaitTimeout()
 {
-    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now() - m_limits.waitStart);
-    execute(
-        m_attempts->giveUp({core::ErrorKind::Overloaded,
-                            "no backend server could take the request within " + std::to_string(waited.count()) + " ms",
-                            retryAfterWaiting(waited, m_attemptName)}));
+    execute(m_attempts->giveUp(overloadError(queuedRequest(), m_resources.queueForecast, now())));
 }
 
 void ForwardedExchange::beginAttempt(const ReservedBackend &reserved)
 {
     m_attempt.emplace(m_resources, m_attempts->attemptStarted(), reserved, now());
+    m_resources.queueForecast.requestSent(m_terms.service, now());
     m_log.recordSent(m_attempt->startedAt());
     m_answer.restart();
     m_tried.push_back(m_attempt->backend());
--- /dev/null
+++ b/packages/forwarding/src/overload.cpp
@@ -0,0 +1,38 @@
+#include "lycheelanding/forwarding/overload.h"
+
+#include "lycheelanding/forwarding/refusal.h"
+
+#include <chrono>
+#include <cmath>
+#include <string>
+
+namespace lycheelanding::forwarding {
+
+bool isOutOfReach(const QueuedRequest &request, const decisions::admission::QueueForecast &forecast,
+                  core::TimePoint now)
+{
+    if (!request.isLimited || now < request.limits.lateSince) {
+        return false;
+    }
+    const auto drainTime = forecast.drainTime(request.level, request.waiting, now);
+    return !drainTime || now + *drainTime > request.limits.waitDeadline;
+}
+
+core::Error overloadError(const QueuedRequest &request, decisions::admission::QueueForecast &forecast,
+                          core::TimePoint now)
+{
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - request.limits.waitStart);
+    const auto detail = "no backend server could take the request within " + std::to_string(waited.count()) + " ms";
+    if (!isOutOfReach(request, forecast, now)) {
+        return {core::ErrorKind::Overloaded, detail, retryAfterWaiting(waited, request.attemptName)};
+    }
+    const auto rates = forecast.rates(request.level, now);
+    const auto delay = forecast.nextReturn(request.level, maxRetryAfter(request.deadline - now), now);
+    return {core::ErrorKind::Overloaded,
+            detail + "; per second " + std::to_string(std::llround(rates.arrivalsPerSecond)) + " arrive and "
+                + std::to_string(std::llround(rates.sentPerSecond)) + " are sent, " + std::to_string(request.waiting)
+                + " wait",
+            std::chrono::ceil<std::chrono::milliseconds>(delay)};
+}
+
+} // namespace lycheelanding::forwarding
--- a/packages/forwarding/src/passdurationmodel.cpp
+++ b/packages/forwarding/src/passdurationmodel.cpp
@@ -15,6 +15,13 @@
 /// An estimate is valid for this time: a stalled group emits no events, and the last estimate no longer applies.
 constexpr std::chrono::milliseconds validityPeriod{1000};
 
+/// A peak is remembered for one to two of these periods. Shifts of the demand for experts follow each other within a
+/// few seconds, and a stream takes about two.
+constexpr std::chrono::milliseconds peakPeriod{4000};
+/// A group whose passes are slower than this has stalled: the most uneven expert map of a new group makes them some 3.5
+/// times as long.
+constexpr double maxPeakSlowdown = 4.5;
+
 double inSeconds(core::Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -48,6 +55,26 @@
     const bool isValid = m_slowdown > 0.0 && now - m_updatedAt < validityPeriod;
     m_slowdown = isValid ? m_slowdown + windowWeight * (slowdown - m_slowdown) : slowdown;
     m_updatedAt = now;
+    recordPeak(slowdown, now);
+}
+
+void PassDurationModel::recordPeak(double slowdown, core::TimePoint now)
+{
+    if (now >= m_peakPeriodEnd) {
+        const bool isRecent = now - m_peakPeriodEnd < peakPeriod;
+        m_previousPeak = isRecent ? m_peak : 0.0;
+        m_peak = 0.0;
+        m_peakPeriodEnd = now + peakPeriod;
+    }
+    if (slowdown <= maxPeakSlowdown) {
+        m_peak = std::max(m_peak, slowdown);
+    }
+}
+
+double PassDurationModel::maxRunningFor(core::Duration maxPassDuration, double slowdown) const
+{
+    const double stepSeconds = inSeconds(maxPassDuration) / (m_steps.stepsPerPass * slowdown);
+    return (stepSeconds - inSeconds(m_steps.step)) / inSeconds(m_steps.perRequest);
 }
 
 std::optional<double> PassDurationModel::maxRunning(core::Duration maxPassDuration, core::TimePoint now) const
@@ -55,8 +82,15 @@
     if (m_slowdown <= 0.0 || now - m_updatedAt >= validityPeriod) {
         return std::nullopt;
     }
-    const double stepSeconds = inSeconds(maxPassDuration) / (m_steps.stepsPerPass * m_slowdown);
-    return (stepSeconds - inSeconds(m_steps.step)) / inSeconds(m_steps.perRequest);
+    return maxRunningFor(maxPassDuration, m_slowdown);
+}
+
+std::optional<double> PassDurationModel::maxRunningAtPeak(core::Duration maxPassDuration, core::TimePoint now) const
+{
+    if (m_slowdown <= 0.0 || now - m_updatedAt >= validityPeriod) {
+        return std::nullopt;
+    }
+    return maxRunningFor(maxPassDuration, std::max({m_slowdown, m_peak, m_previousPeak}));
 }
 
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/src/refusal.cpp
+++ b/packages/forwarding/src/refusal.cpp
@@ -66,6 +66,12 @@
         + std::chrono::milliseconds(core::stableHash(attemptName) % static_cast<std::uint64_t>(spread.count() + 1));
 }
 
+std::chrono::milliseconds maxRetryAfter(core::Duration timeLeft)
+{
+    return std::max(percentOf(std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft), maxRetryAfterPercent),
+                    minRetryAfterLimit);
+}
+
 core::Error withRetryAfter(const core::Error &error, core::Duration timeLeft)
 {
     core::Error result = error;
@@ -75,10 +81,8 @@
         return result;
     }
     if (core::answerOf(error.kind).retryCanSucceed) {
-        const auto limit
-            = percentOf(std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft), maxRetryAfterPercent);
         result.retryAfter = std::clamp(result.retryAfter.value_or(defaultRetryAfter), std::chrono::milliseconds(1),
-                                       std::max(limit, minRetryAfterLimit));
+                                       maxRetryAfter(timeLeft));
     }
     return result;
 }
--- a/packages/forwarding/src/waitlimits.cpp
+++ b/packages/forwarding/src/waitlimits.cpp
@@ -26,6 +26,9 @@
 /// Percentage of the target latency after which a waiting request counts as late: the engine needs the rest for the
 /// prefill.
 constexpr int inTimePercent = 60;
+/// The same where only requests in time are admitted. Half of the first events arrive some 200 ms after the send, with
+/// targets of 400 to 500 ms.
+constexpr int strictInTimePercent = 40;
 /// How long a request waits for an unsaturated engine before it accepts any: a longer backlog needs the full capacity
 /// of the engines.
 constexpr std::chrono::milliseconds unsaturatedWait{1000};
@@ -62,12 +65,12 @@
                            + (isVmUnresponsive ? ", and no news of its VM" : "")};
 }
 
-WaitLimits waitLimitsOf(const Route &route, core::TimePoint arrival, core::TimePoint deadline)
+WaitLimits waitLimitsOf(const Route &route, core::TimePoint arrival, core::TimePoint deadline, bool admitsInTimeOnly)
 {
     const auto clientTimeout = streamClientTimeout(route);
     return {arrival,
             arrival + maxWait(route, deadline - arrival),
-            arrival + percentOf(route.targetLatency, inTimePercent),
+            arrival + percentOf(route.targetLatency, admitsInTimeOnly ? strictInTimePercent : inTimePercent),
             arrival + unsaturatedWait,
             percentOf(clientTimeout, inactivityPercent),
             percentOf(clientTimeout, unresponsiveVmPercent),
--- a/packages/forwarding/tests/passdurationmodeltest.cpp
+++ b/packages/forwarding/tests/passdurationmodeltest.cpp
@@ -129,4 +129,48 @@
     EXPECT_LT(model.maxRunning(limit, now).value_or(0.0), 12.0);
 }
 
+// Guards against streams that are all late at each shift of the demand for experts: engines must have run few enough
+// requests before it.
+TEST(PassDurationModelTest, limitAtThePeakCoversTheNextShiftOfDemand)
+{
+    PassDurationModel model(steps);
+    auto now = start;
+    const auto runPasses = [&](double slowdown, core::Duration duration) {
+        for (const auto end = now + duration; now < end;) {
+            const auto pass = passDuration(slowdown, 6.0);
+            now += pass;
+            recordAndUpdate(model, pass, 6.0, now);
+        }
+    };
+    runPasses(1.1, 3s);
+    const auto calm = model.maxRunningAtPeak(limit, now);
+    ASSERT_TRUE(calm);
+    EXPECT_NEAR(*calm, *model.maxRunning(limit, now), 1.0);
+    runPasses(2.2, 500ms);
+    runPasses(1.1, 2s);
+    const auto afterShift = model.maxRunningAtPeak(limit, now);
+    ASSERT_TRUE(afterShift);
+    EXPECT_LE(passDuration(2.2, *afterShift), limit + 1ms);
+    EXPECT_GT(*model.maxRunning(limit, now), *afterShift + 2.0);
+    // The peak is forgotten when shifts end.
+    runPasses(1.1, 9s);
+    EXPECT_NEAR(*model.maxRunningAtPeak(limit, now), *model.maxRunning(limit, now), 1.0);
+}
+
+// Guards against a stalled group, whose streams have gaps of seconds, counting as a slow one for seconds after it.
+TEST(PassDurationModelTest, stallIsNoPeak)
+{
+    PassDurationModel model(steps);
+    auto now = start;
+    for (const core::Duration interval : {core::Duration(60ms), core::Duration(4s), core::Duration(60ms)}) {
+        now += interval;
+        recordAndUpdate(model, interval, 6.0, now);
+    }
+    for (int pass = 0; pass < 20; ++pass) {
+        now += 60ms;
+        recordAndUpdate(model, 60ms, 6.0, now);
+    }
+    EXPECT_GT(*model.maxRunningAtPeak(limit, now), 6.0);
+}
+
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/tests/waitingrequeststest.cpp
+++ b/packages/forwarding/tests/waitingrequeststest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <vector>
 
@@ -132,4 +133,26 @@
     EXPECT_EQ(queues.sentNames.size(), 3U);
 }
 
+// Guards against a class that gets no place at all while more urgent ones have a queue.
+TEST(WaitingRequests, lessUrgentRequestsGetTheirGuaranteedShare)
+{
+    Queues queues;
+    queues.waiting.setGuaranteesShares(true);
+    for (int number = 0; number < 40; ++number) {
+        queues.add("urgent", 0);
+    }
+    for (int number = 0; number < 3; ++number) {
+        queues.add("ordinary", 1);
+        queues.add("background", 2);
+    }
+    for (int round = 0; round < 36; ++round) {
+        queues.capacity = 1;
+        queues.waiting.advance(start);
+    }
+    const auto &sent = queues.sentNames;
+    EXPECT_EQ(std::count(sent.begin(), sent.end(), "ordinary"), 2);
+    EXPECT_EQ(std::count(sent.begin(), sent.end(), "background"), 2);
+    EXPECT_EQ(std::count(sent.begin(), sent.end(), "urgent"), 32);
+}
+
 } // namespace lycheelanding::forwarding
