--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -29,6 +29,9 @@
     ColdBounds coldBounds;
     /// Whether plain backend servers are chosen and limited by their response times.
     bool adaptiveCapacity = false;
+    /// Engines get only the requests that they can serve within the routes' targets; others are refused early while
+    /// more arrive than can be served.
+    bool admitsInTimeOnly = false;
 };
 
 /// An entry on the direct path: accepts requests of callers and forwards them to backend servers. Used on the thread of
@@ -99,6 +102,7 @@
     RetryBudgets m_retries;
     http::ConnectionPool m_pool;
     WaitingRequests<ForwardedExchange> m_waiting;
+    decisions::admission::QueueForecast m_queueForecast;
     AttemptId m_lastAttempt;
     std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> m_resumableStreams;
     IntakeTracker m_intakeTracker;
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -52,6 +52,8 @@
     if (m_settings.adaptiveCapacity) {
         m_backends.enableAdaptiveCapacity();
     }
+    m_backends.setAdmitsInTimeOnly(m_settings.admitsInTimeOnly);
+    m_waiting.setGuaranteesShares(m_settings.admitsInTimeOnly);
 }
 
 EntryServer::~EntryServer() = default;
@@ -176,10 +178,21 @@
 
 void EntryServer::forward(const http::HttpExchangePointer &exchange)
 {
-    const ForwardingResources resources{
-        m_context,       m_settings.names, m_backends,        m_retries,     m_pool,
-        m_log,           m_metrics,        m_waiting,         m_lastAttempt, m_requestGuard,
-        m_intakeTracker, m_backendLeaves,  m_resumableStreams};
+    const ForwardingResources resources{m_context,
+                                        m_settings.names,
+                                        m_backends,
+                                        m_retries,
+                                        m_pool,
+                                        m_log,
+                                        m_metrics,
+                                        m_waiting,
+                                        m_lastAttempt,
+                                        m_requestGuard,
+                                        m_intakeTracker,
+                                        m_backendLeaves,
+                                        m_queueForecast,
+                                        m_settings.admitsInTimeOnly,
+                                        m_resumableStreams};
     const auto onFinished = [this] {
         execute(m_drain.requestFinished(m_clock.now()));
         sendWaitingRequests();
