Entries bound the memory and the descriptors that callers occupy

Cause: bodies grew in memory without a limit on their sum, as strings that double, and were copied twice when forwarded; connections were limited by half of the process's descriptors only, whatever the settings say.

Requests and unsent answers draw from one account before bytes are read; reading stops while there is no room, and a request that has waited for HeaderTimeoutMs is refused with 503. A body is reserved at once, and goes to the backend server from where it was received. The kernel's buffers of callers' connections are bounded, as are connections that wait. At the limit of connections, those that are inactive or do not accept their answer make room, and accepting pauses.

--- a/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
@@ -40,7 +40,7 @@
     void connect(std::chrono::milliseconds timeout, std::function<void(const core::Status &)> onConnected);
     /// `fields`: those of the request; the attempt adds the backend server's name. `handlers`: the attempt adds which
     /// answers belong to the request.
-    void send(const http::HttpRequest &request, ForwardedFields fields, http::AnswerHandlers handlers);
+    void send(const http::HttpExchangePointer &exchange, ForwardedFields fields, http::AnswerHandlers handlers);
 
     void recordHead(http::AnswerHead head);
     /// The answer cannot follow the parts of earlier attempts.
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheelanding/decisions/membership/entrydrain.h"
+#include "lycheelanding/forwarding/callermemorymetrics.h"
 #include "lycheelanding/forwarding/forwardedexchange.h"
 #include "lycheelanding/forwarding/waitingrequests.h"
 
@@ -23,6 +24,10 @@
     SharedRetryBudget retryBudget;
     decisions::membership::EntryDrainSettings drain;
     std::size_t maxConnections = 4096;
+    std::size_t maxReadinessConnections = 4096;
+    std::size_t maxIdleBackendConnections = SIZE_MAX;
+    /// Account for what callers send and for answers that wait for them; null for none.
+    http::CallerMemoryPointer callerMemory = nullptr;
 };
 
 /// An entry on the direct path: accepts requests of callers and forwards them to backend servers. Used on the thread of
@@ -46,6 +51,8 @@
     void sendWaitingRequests() { m_waiting.advance(m_clock.now()); }
     /// Resumes streams of inactive backend servers elsewhere; to be called several times a second.
     void replaceInactiveAttempts();
+    /// Updates the metrics and the log about the memory of callers; to be called often.
+    void recordCallerMemory();
     /// The registry has been read completely at least once.
     void backendsListed();
     /// Drains the entry, so that requests in progress can finish; calls `onStopped` when the process may exit.
@@ -76,6 +83,7 @@
 
     asio::io_context &m_context;
     const EntryServerSettings m_settings;
+    CallerMemoryMetrics m_callerMemoryMetrics;
     core::SystemClock m_clock;
     EventLog &m_log;
     report::Metrics m_metrics;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedfields.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedfields.h
@@ -3,7 +3,8 @@
 #include "lycheelanding/core/ids.h"
 #include "lycheelanding/decisions/quarantine/requestfeatures.h"
 #include "lycheelanding/forwarding/fieldnames.h"
-#include "lycheelanding/http/httpmessages.h"
+#include "lycheelanding/http/httpserver.h"
+#include "lycheelanding/http/outgoingrequest.h"
 
 #include <chrono>
 #include <cstdint>
@@ -23,9 +24,9 @@
 };
 
 /// The caller's request as it is sent to a backend server: method, target and body unchanged, without the caller's key,
-/// the hop-by-hop fields and those that only an entry may set.
-std::string forwardedRequest(const http::HttpRequest &request, const ForwardedFields &forwardedFields,
-                             const FieldNames &names);
+/// the hop-by-hop fields and those that only an entry may set. The body stays in the exchange.
+http::OutgoingRequest forwardedRequest(const http::HttpExchangePointer &exchange,
+                                       const ForwardedFields &forwardedFields, const FieldNames &names);
 
 /// Value of a field in milliseconds, at most 24 hours; nullopt if it is missing or not a number.
 std::optional<std::chrono::milliseconds> millisecondsIn(const http::HttpHeaders &headers, const std::string &name);
--- a/packages/forwarding/src/backendattempt.cpp
+++ b/packages/forwarding/src/backendattempt.cpp
@@ -32,10 +32,12 @@
     m_connection->connect(timeout, std::move(onConnected));
 }
 
-void BackendAttempt::send(const http::HttpRequest &request, ForwardedFields fields, http::AnswerHandlers handlers)
+void BackendAttempt::send(const http::HttpExchangePointer &exchange, ForwardedFields fields,
+                          http::AnswerHandlers handlers)
 {
     m_sentAt = m_clock.now();
     fields.expectedBackend = backend().text();
+    const auto &request = exchange->request();
     const auto name = request.headers.find(m_resources.names.attempt).value_or(std::string());
     handlers.matchesRequest = [resources = m_resources, backend = backend().text(), name,
                                isReused = m_isConnectionReused](const http::AnswerHead &head) {
@@ -50,7 +52,7 @@
         }
         return isOwn;
     };
-    m_connection->send(forwardedRequest(request, fields, m_resources.names), request.method == "HEAD",
+    m_connection->send(forwardedRequest(exchange, fields, m_resources.names), request.method == "HEAD",
                        std::move(handlers));
 }
 
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -32,19 +32,27 @@
     return settings;
 }
 
+http::HttpServerSettings callerServerSettings(const EntryServerSettings &entry)
+{
+    auto settings = serverSettings(entry.callerEndpoint, entry.maxConnections);
+    settings.memory = entry.callerMemory;
+    return settings;
+}
+
 } // namespace
 
 EntryServer::EntryServer(asio::io_context &context, EntryServerSettings settings, EventLog &log)
     : m_context(context), m_settings(std::move(settings)), m_log(log),
       m_backends(m_settings.dataCentre, core::stableHash(m_settings.processName)),
-      m_retries(m_settings.retryBudget, core::stableHash(m_settings.processName)), m_pool(idleConnectionTimeout),
+      m_retries(m_settings.retryBudget, core::stableHash(m_settings.processName)),
+      m_pool(idleConnectionTimeout, m_settings.maxIdleBackendConnections),
       m_intakeTracker(m_backends, m_log, m_metrics), m_requestGuard(context, core::stableHash(m_settings.processName),
                                                                     m_log, m_metrics, [this] { cancelHeldAttempts(); }),
       m_backendLeaves([this](const BackendId &id) { backendLeaves(id); }), m_earlyTimer(context),
       m_drain(m_settings.drain), m_drainTimer(context),
-      m_callerServer(context, serverSettings(m_settings.callerEndpoint, m_settings.maxConnections),
+      m_callerServer(context, callerServerSettings(m_settings),
                      [this](const auto &exchange) { handleRequest(exchange); }),
-      m_readinessServer(context, serverSettings(m_settings.readinessEndpoint, m_settings.maxConnections),
+      m_readinessServer(context, serverSettings(m_settings.readinessEndpoint, m_settings.maxReadinessConnections),
                         [this](const auto &exchange) { handleReadiness(exchange); })
 { }
 
@@ -111,6 +119,18 @@
     m_backends.updateBackendLoad(id, load, m_clock.now());
 }
 
+void EntryServer::recordCallerMemory()
+{
+    const auto &memory = m_settings.callerMemory;
+    if (memory && m_callerMemoryMetrics.record(*memory, m_metrics, m_clock.now())) {
+        m_log.write(LogImportance::State, "callersLimited",
+                    {{"closed", static_cast<std::int64_t>(memory->closedConnections())},
+                     {"refused", static_cast<std::int64_t>(memory->refusedRequests())},
+                     {"replaced", static_cast<std::int64_t>(memory->replacedConnections())},
+                     {"heldBytes", static_cast<std::int64_t>(memory->heldBytes())}});
+    }
+}
+
 void EntryServer::handleReadiness(const http::HttpExchangePointer &exchange)
 {
     constexpr int notFound = 404;
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -183,7 +183,7 @@
     forwardedFields.organisation = m_terms.organisation;
     forwardedFields.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(m_terms.deadline - now());
     forwardedFields.lastEvent = m_answer.lastEvent();
-    m_attempt->send(m_exchange->request(), std::move(forwardedFields), answerHandlers(m_attempt->number()));
+    m_attempt->send(m_exchange, std::move(forwardedFields), answerHandlers(m_attempt->number()));
 }
 
 http::AnswerHandlers ForwardedExchange::answerHandlers(AttemptNumber attempt)
--- a/packages/forwarding/src/forwardedfields.cpp
+++ b/packages/forwarding/src/forwardedfields.cpp
@@ -36,25 +36,26 @@
 
 } // namespace
 
-std::string forwardedRequest(const http::HttpRequest &request, const ForwardedFields &forwardedFields,
-                             const FieldNames &names)
+http::OutgoingRequest forwardedRequest(const http::HttpExchangePointer &exchange,
+                                       const ForwardedFields &forwardedFields, const FieldNames &names)
 {
-    http::HttpRequest result{request.method, request.target, {}, request.body};
+    const auto &request = exchange->request();
+    http::HttpHeaders headers;
     for (const auto &field : request.headers.fields()) {
         const bool isReplaced = forwardedFields.lastEvent && http::isSameHeaderName(field.name, lastEventField);
         if (!isRemoved(field.name, names) && !isReplaced) {
-            result.headers.add(field.name, field.value);
+            headers.add(field.name, field.value);
         }
     }
-    result.headers.add(names.timeLeft, std::to_string(std::max<std::int64_t>(forwardedFields.timeLeft.count(), 1)));
-    result.headers.add(names.expectedBackend, forwardedFields.expectedBackend);
+    headers.add(names.timeLeft, std::to_string(std::max<std::int64_t>(forwardedFields.timeLeft.count(), 1)));
+    headers.add(names.expectedBackend, forwardedFields.expectedBackend);
     if (forwardedFields.lastEvent) {
-        result.headers.add(std::string(lastEventField), std::to_string(*forwardedFields.lastEvent));
+        headers.add(std::string(lastEventField), std::to_string(*forwardedFields.lastEvent));
     }
     if (!forwardedFields.organisation.isEmpty()) {
-        result.headers.add(names.organisation, forwardedFields.organisation.text());
+        headers.add(names.organisation, forwardedFields.organisation.text());
     }
-    return http::serializedRequest(result, "backend");
+    return {http::serializedHead(request, headers, "backend"), request.body, exchange};
 }
 
 std::optional<std::chrono::milliseconds> millisecondsIn(const http::HttpHeaders &headers, const std::string &name)
--- a/packages/http/include/lycheelanding/http/clientconnection.h
+++ b/packages/http/include/lycheelanding/http/clientconnection.h
@@ -2,6 +2,7 @@
 
 #include "lycheelanding/core/result.h"
 #include "lycheelanding/http/httpmessages.h"
+#include "lycheelanding/http/outgoingrequest.h"
 
 #include <asio/any_io_executor.hpp>
 #include <asio/ip/tcp.hpp>
@@ -87,7 +88,7 @@
     void connect(std::chrono::milliseconds timeout, std::function<void(const core::Status &)> onConnected);
     /// Sends a serialized request; the connection must be open and idle. After the call the request may have reached
     /// the server. `isHeadRequest` tells the parser that the answer to a HEAD request has no body.
-    void send(std::string request, bool isHeadRequest, AnswerHandlers handlers);
+    void send(OutgoingRequest request, bool isHeadRequest, AnswerHandlers handlers);
     /// Sets the handler that is called once when the connection ends while it is idle.
     void onIdleEnd(std::function<void()> handler);
     /// Closes the connection; no handler is called afterwards.
--- a/packages/http/include/lycheelanding/http/connectionpool.h
+++ b/packages/http/include/lycheelanding/http/connectionpool.h
@@ -3,6 +3,7 @@
 #include "lycheelanding/http/clientconnection.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 
@@ -13,7 +14,10 @@
 {
 public:
     /// Connections idle for longer than `maxIdleTime` are not reused, even within the server's Keep-Alive time.
-    explicit ConnectionPool(std::chrono::milliseconds maxIdleTime) : m_maxIdleTime(maxIdleTime) { }
+    /// Beyond `maxIdle` connections, those that are released are closed.
+    explicit ConnectionPool(std::chrono::milliseconds maxIdleTime, std::size_t maxIdle = SIZE_MAX)
+        : m_maxIdleTime(maxIdleTime), m_maxIdle(maxIdle)
+    { }
     ~ConnectionPool();
     ConnectionPool(const ConnectionPool &) = delete;
     ConnectionPool &operator=(const ConnectionPool &) = delete;
@@ -36,7 +40,10 @@
 
     void removeIdle(const asio::ip::tcp::endpoint &peer, const ClientConnection *connection);
 
+    std::size_t idleCount() const;
+
     const std::chrono::milliseconds m_maxIdleTime;
+    const std::size_t m_maxIdle;
     std::map<asio::ip::tcp::endpoint, std::deque<Idle>> m_idle;
 };
 
--- a/packages/http/include/lycheelanding/http/httpserver.h
+++ b/packages/http/include/lycheelanding/http/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheelanding/core/result.h"
+#include "lycheelanding/http/callermemory.h"
 #include "lycheelanding/http/httpmessages.h"
 
 #include <asio/io_context.hpp>
@@ -63,14 +64,18 @@
     std::size_t maxBodyBytes = 1024UL * 1024;
     std::size_t maxHeaderValueBytes = 8UL * 1024;
     /// Connections beyond this number are closed as soon as they are accepted. At most half of the process's file
-    /// descriptors are used, even if this is higher.
+    /// descriptors are used, even if this is higher. With `memory`, accepting pauses instead, and connections that
+    /// have been inactive for longest are closed.
     std::size_t maxConnections = 4096;
-    /// A connection is closed if a request is not complete within this time of its first byte.
+    /// A connection is closed if a request is not complete within this time of its first byte. With `memory` this
+    /// applies to the fields, and to the time without a byte of the body.
     std::chrono::milliseconds readTimeout = std::chrono::seconds(60);
     /// A connection without a request for this long is closed; 0 uses the read timeout.
     std::chrono::milliseconds idleTimeout = std::chrono::milliseconds(0);
     /// A connection is closed if a write to it takes longer than this.
     std::chrono::milliseconds writeTimeout = std::chrono::seconds(30);
+    /// Account from which requests and answers draw their memory; null for none. The kernel's buffers are bounded too.
+    CallerMemoryPointer memory = nullptr;
 };
 
 /// An HTTP/1.1 server on an io_context that its user runs on one or more threads.
--- a/packages/http/src/clientconnection.cpp
+++ b/packages/http/src/clientconnection.cpp
@@ -79,7 +79,7 @@
     { }
 
     void connect(std::chrono::milliseconds timeout, std::function<void(const core::Status &)> onConnected);
-    void send(std::string request, bool isHeadRequest, AnswerHandlers handlers);
+    void send(OutgoingRequest request, bool isHeadRequest, AnswerHandlers handlers);
     void close();
 
     // MessageSink
@@ -109,7 +109,7 @@
     asio::steady_timer m_timer;
     MessageParser<Private> m_parser;
     std::array<char, 4096> m_buffer{};
-    std::string m_request;
+    OutgoingRequest m_request;
     std::function<void(const core::Status &)> m_onConnected;
     std::function<void()> m_onIdleEnd;
     AnswerHandlers m_handlers;
@@ -177,7 +177,7 @@
                         ignored);
 }
 
-void ClientConnection::Private::send(std::string request, bool isHeadRequest, AnswerHandlers handlers)
+void ClientConnection::Private::send(OutgoingRequest request, bool isHeadRequest, AnswerHandlers handlers)
 {
     m_request = std::move(request);
     m_isHeadRequest = isHeadRequest;
@@ -189,9 +189,10 @@
     m_skippedBytes = 0;
     m_isHeadTimed = false;
     // A failed write is reported by the read: the server may have answered before it closed the connection.
-    asio::async_write(m_socket, asio::buffer(m_request), [self = shared_from_this()](const auto &, auto) {
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_request.head), asio::buffer(m_request.body)};
+    asio::async_write(m_socket, buffers, [self = shared_from_this()](const auto &, auto) {
         self->m_isWriting = false;
-        self->m_request.clear();
+        self->m_request = {};
     });
 }
 
@@ -412,7 +413,7 @@
     m_d->connect(timeout, std::move(onConnected));
 }
 
-void ClientConnection::send(std::string request, bool isHeadRequest, AnswerHandlers handlers)
+void ClientConnection::send(OutgoingRequest request, bool isHeadRequest, AnswerHandlers handlers)
 {
     m_d->send(std::move(request), isHeadRequest, std::move(handlers));
 }
--- a/packages/http/src/connectionpool.cpp
+++ b/packages/http/src/connectionpool.cpp
@@ -34,6 +34,10 @@
 
 void ConnectionPool::release(const ClientConnectionPointer &connection)
 {
+    if (idleCount() >= m_maxIdle) {
+        connection->close();
+        return;
+    }
     auto expiresAt = std::chrono::steady_clock::now() + m_maxIdleTime;
     if (const auto keepAliveUntil = connection->keepAliveUntil()) {
         expiresAt = std::min(expiresAt, *keepAliveUntil);
@@ -43,6 +47,15 @@
     m_idle[connection->peer()].push_back({connection, expiresAt});
 }
 
+std::size_t ConnectionPool::idleCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[peer, idle] : m_idle) {
+        count += idle.size();
+    }
+    return count;
+}
+
 void ConnectionPool::removeIdle(const asio::ip::tcp::endpoint &peer, const ClientConnection *connection)
 {
     const auto found = m_idle.find(peer);
--- a/packages/http/src/httpmessages.cpp
+++ b/packages/http/src/httpmessages.cpp
@@ -1,5 +1,7 @@
 #include "lycheelanding/http/httpmessages.h"
 
+#include "lycheelanding/http/outgoingrequest.h"
+
 #include "lycheelanding/core/nametable.h"
 
 #include "private/headertext.h"
@@ -104,22 +106,26 @@
     return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reasonPhrase(status)) + "\r\n";
 }
 
-std::string serializedRequest(const HttpRequest &request, std::string_view host)
+std::string serializedHead(const HttpRequest &request, const HttpHeaders &headers, std::string_view host)
 {
     std::string text;
     constexpr std::size_t typicalHeadBytes = 512;
-    text.reserve(typicalHeadBytes + request.body.size());
+    text.reserve(typicalHeadBytes);
     text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
-    if (!request.headers.find("Host")) {
+    if (!headers.find("Host")) {
         appendHeaderLine(text, "Host", host);
     }
-    appendHeaderLines(text, request.headers);
+    appendHeaderLines(text, headers);
     const bool isBodyExpected = request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
     if (isBodyExpected || !request.body.empty()) {
         appendHeaderLine(text, "Content-Length", std::to_string(request.body.size()));
     }
-    text.append("\r\n").append(request.body);
-    return text;
+    return text.append("\r\n");
+}
+
+std::string serializedRequest(const HttpRequest &request, std::string_view host)
+{
+    return serializedHead(request, request.headers, host).append(request.body);
 }
 
 void HttpHeaders::remove(std::string_view name)
--- a/packages/http/src/httpserver.cpp
+++ b/packages/http/src/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "private/serverconnection.h"
 #include "private/serverconnections.h"
+#include "private/serversocketoptions.h"
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -18,7 +19,8 @@
 
 constexpr std::chrono::milliseconds maxTimeoutCheckInterval = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds minTimeoutCheckInterval{10};
-/// Delay after a failed accept, for example when the process has no free file descriptor.
+/// Delay after a failed accept, for example when the process has no free file descriptor, and while there are as many
+/// connections as may be open.
 constexpr std::chrono::milliseconds acceptRetryDelay{50};
 
 /// Callers' connections may use at most half of the file descriptors; the rest is for backend servers and files.
@@ -60,6 +62,7 @@
 
 private:
     void accept();
+    void acceptLater();
     void onAccepted(const asio::error_code &error, asio::ip::tcp::socket socket);
     void scheduleTimeoutCheck();
 
@@ -93,8 +96,13 @@
     if (!error) {
         m_acceptor.bind(endpoint, error);
     }
+    if (!error && m_settings.memory) {
+        // Accepted sockets inherit the sizes; set later, they would not bound what arrives before.
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(socketBufferBytes), error);
+        m_acceptor.set_option(asio::socket_base::send_buffer_size(socketBufferBytes), error);
+    }
     if (!error) {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        m_acceptor.listen(m_settings.memory ? limitedBacklog : asio::socket_base::max_listen_connections, error);
     }
     if (error) {
         return core::Error{core::ErrorKind::InvalidSettings,
@@ -108,6 +116,11 @@
 
 void HttpServer::Private::accept()
 {
+    if (m_settings.memory && m_connections->count() >= m_connectionLimit) {
+        m_connections->closeLongestInactive();
+        acceptLater();
+        return;
+    }
     const std::lock_guard lock(m_mutex);
     if (m_isStopped) {
         return;
@@ -117,17 +130,22 @@
     });
 }
 
+void HttpServer::Private::acceptLater()
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_isStopped) {
+        m_acceptTimer.expires_after(acceptRetryDelay);
+        m_acceptTimer.async_wait([self = shared_from_this()](const auto &) { self->accept(); });
+    }
+}
+
 void HttpServer::Private::onAccepted(const asio::error_code &error, asio::ip::tcp::socket socket)
 {
     if (error == asio::error::operation_aborted) {
         return;
     }
     if (error) {
-        const std::lock_guard lock(m_mutex);
-        if (!m_isStopped) {
-            m_acceptTimer.expires_after(acceptRetryDelay);
-            m_acceptTimer.async_wait([self = shared_from_this()](const auto &) { self->accept(); });
-        }
+        acceptLater();
         return;
     }
     if (m_connections->count() < m_connectionLimit) {
--- a/packages/http/src/private/httptransfer.cpp
+++ b/packages/http/src/private/httptransfer.cpp
@@ -138,7 +138,7 @@
     if (!m_request.sharesConnection) {
         request.headers.add("Connection", "close");
     }
-    connection->send(serializedRequest(request, m_url.authority), m_request.method == "HEAD", std::move(handlers));
+    connection->send({serializedRequest(request, m_url.authority)}, m_request.method == "HEAD", std::move(handlers));
 }
 
 void HttpTransfer::onBody(std::string_view bytes)
--- a/packages/http/src/private/messageparser.h
+++ b/packages/http/src/private/messageparser.h
@@ -7,6 +7,7 @@
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -123,6 +124,15 @@
     /// Whether a message is partly parsed.
     bool isInMessage() const { return m_hasStarted; }
     bool isInHead() const { return m_hasStarted && !m_isHeadEnded; }
+    /// Bytes of the start line and the fields of the message so far.
+    std::size_t headBytes() const { return m_headBytes; }
+    /// In onHead(): the length that the message announces for its body.
+    std::optional<std::uint64_t> announcedBytes() const
+    {
+        const bool isChunked = (m_parser.flags & F_CHUNKED) != 0;
+        return isChunked || m_parser.content_length == UINT64_MAX ? std::nullopt
+                                                                  : std::optional(m_parser.content_length);
+    }
     bool isKeepAlive() const { return http_should_keep_alive(&m_parser) != 0; }
     bool isHttp10() const { return m_parser.http_major == 1 && m_parser.http_minor == 0; }
     std::string_view errorName() const { return http_errno_name(HTTP_PARSER_ERRNO(&m_parser)); }
--- a/packages/http/src/private/serverconnection.cpp
+++ b/packages/http/src/private/serverconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "private/headertext.h"
 #include "private/parsererrors.h"
+#include "private/serversocketoptions.h"
 
 #include "lycheelanding/core/errorkind.h"
 
@@ -9,6 +10,7 @@
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -20,9 +22,11 @@
 constexpr std::size_t maxPipelinedRequests = 1;
 /// Reading from the socket pauses when this many received bytes have not been parsed.
 constexpr std::size_t maxPendingBytes = 64UL * 1024;
-/// How long the server discards input after its last answer before it closes the connection. Closing a socket with
-/// unread bytes resets the connection, and the caller could lose the refusal.
-constexpr std::chrono::seconds lingeringCloseTimeout{1};
+/// Memory that output occupies: in the process, and in the kernel while the caller does not read.
+std::size_t memoryOf(const std::string &output)
+{
+    return output.size() + std::min(output.size(), kernelBufferBytes);
+}
 
 ParserBounds boundsOf(const HttpServerSettings &settings)
 {
@@ -68,7 +72,7 @@
 
 void ServerConnection::read()
 {
-    if (m_isReading || m_isClosed || m_pending.size() >= maxPendingBytes) {
+    if (m_isReading || m_isClosed || isWaitingForMemory() || m_pending.size() >= maxPendingBytes || !reserveMemory()) {
         return;
     }
     m_isReading = true;
@@ -92,9 +96,12 @@
         read();
         return;
     }
+    m_lastRead = std::chrono::steady_clock::now();
     if (!m_parser.isInMessage()) {
-        m_lastActivity = std::chrono::steady_clock::now();
+        m_lastActivity = m_lastRead;
     }
+    recordActivity();
+    m_incoming.progressed(size);
     m_pending.append(m_buffer.data(), size);
     parsePending();
     read();
@@ -118,26 +125,23 @@
 
 bool ServerConnection::onHead(ParsedHead head)
 {
-    m_incoming.method = std::move(head.method);
-    m_incoming.target = std::move(head.target);
-    m_incoming.headers = std::move(head.headers);
-    m_incoming.body.clear();
+    m_incoming.setHead(std::move(head.method), std::move(head.target), std::move(head.headers),
+                       m_parser.announcedBytes());
     return true;
 }
 
 void ServerConnection::onBody(std::string_view bytes)
 {
-    m_incoming.body.append(bytes);
+    m_incoming.append(bytes, m_connections->settings().maxBodyBytes);
 }
 
 void ServerConnection::onMessageEnd()
 {
     auto answer = std::make_shared<ServerAnswer>();
-    answer->isHeadRequest = m_incoming.method == "HEAD";
+    answer->isHeadRequest = m_incoming.request().method == "HEAD";
     answer->isHttp10 = m_parser.isHttp10();
     answer->isKeepAlive = m_parser.isKeepAlive();
-    m_requests.emplace_back(std::move(m_incoming), std::move(answer));
-    m_incoming = HttpRequest();
+    m_requests.push_back({m_incoming.takeRequest(), std::move(answer), m_incoming.takeHold()});
 }
 
 void ServerConnection::refuse(core::ErrorKind kind)
@@ -154,9 +158,14 @@
     std::string text = statusLine(status);
     appendHeaderLine(text, "Content-Type", "application/json");
     appendHeaderLine(text, "Connection", "close");
+    if (row.retryCanSucceed) {
+        appendHeaderLine(text, "Retry-After", "1");
+    }
     appendHeaderLine(text, "Content-Length", std::to_string(body.size()));
     text.append("\r\n").append(body);
     m_isClosing = true;
+    m_selfWhileWaiting.reset();
+    m_incoming.clear();
     m_lastActivity = std::chrono::steady_clock::now();
     send({std::move(text), nullptr, 0, false});
 }
@@ -166,12 +175,13 @@
     if (m_current || m_requests.empty() || m_isClosed) {
         return;
     }
-    auto [request, answer] = std::move(m_requests.front());
+    auto [request, answer, memory] = std::move(m_requests.front());
     m_requests.pop_front();
     m_current = answer;
+    recordActivity();
     m_connections->exchangeOpened();
-    auto exchange = std::make_shared<HttpExchange>(
-        std::make_unique<HttpExchange::Private>(std::move(request), std::move(answer), shared_from_this()));
+    auto exchange = std::make_shared<HttpExchange>(std::make_unique<HttpExchange::Private>(
+        std::move(request), std::move(memory), std::move(answer), shared_from_this()));
     // The handler runs outside the strand. Its calls are posted to the strand and keep their order.
     asio::post(m_connections->context(),
                [connections = m_connections, exchange = std::move(exchange)] { connections->handler()(exchange); });
@@ -270,6 +280,14 @@
 
 void ServerConnection::send(Output output)
 {
+    output.drawnBytes = memoryOf(output.bytes);
+    if (m_output.empty()) {
+        m_outputMemory.restartProgress();
+    }
+    if (!m_outputMemory.isSet() && m_connections->settings().memory) {
+        m_outputMemory = newHold(&ServerConnection::close);
+    }
+    m_outputMemory.drawExisting(output.drawnBytes);
     // Output that is sent in one go, or waits for a running write, is merged into one write.
     const std::size_t firstWaiting = m_isWriting ? 1 : 0;
     if (m_output.size() > firstWaiting && !m_output.back().endsAnswer) {
@@ -277,6 +295,7 @@
         last.bytes.append(output.bytes);
         last.bodyBytes += output.bodyBytes;
         last.endsAnswer = output.endsAnswer;
+        last.drawnBytes += output.drawnBytes;
     } else {
         m_output.push_back(std::move(output));
     }
@@ -301,9 +320,16 @@
     }
     m_isWriting = true;
     m_writeStart = std::chrono::steady_clock::now();
-    asio::async_write(m_socket, asio::buffer(m_output.front().bytes),
+    recordActivity();
+    const auto recordProgress = [this, written = std::size_t{0}](const auto &error, std::size_t size) mutable {
+        m_outputMemory.progressed(size - std::exchange(written, size));
+        recordActivity();
+        return asio::transfer_all()(error, size);
+    };
+    asio::async_write(m_socket, asio::buffer(m_output.front().bytes), recordProgress,
                       asio::bind_executor(m_strand, [self = shared_from_this()](const auto &error, auto) {
                           self->m_isWriting = false;
+                          self->recordActivity();
                           self->onWritten(error);
                       }));
 }
@@ -319,6 +345,7 @@
     }
     const Output done = std::move(m_output.front());
     m_output.pop_front();
+    m_outputMemory.release(done.drawnBytes);
     if (done.answer) {
         done.answer->unsentBytes -= done.bodyBytes;
     }
@@ -335,6 +362,7 @@
         return;
     }
     m_current.reset();
+    recordActivity();
     answer->onCallerGone = nullptr;
     m_connections->exchangeClosed();
     m_lastActivity = std::chrono::steady_clock::now();
@@ -381,37 +409,10 @@
     m_socket.close(ignored);
     m_connections->remove(this);
     handleCallerGone();
+    m_selfWhileWaiting.reset();
     m_requests.clear();
-}
-
-void ServerConnection::closeIfIdle()
-{
-    if (!m_current && m_requests.empty() && m_output.empty() && !m_parser.isInMessage() && m_pending.empty()) {
-        close();
-    }
-}
-
-void ServerConnection::checkTimeouts()
-{
-    if (m_isClosed) {
-        return;
-    }
-    const auto now = std::chrono::steady_clock::now();
-    if (m_isWriting) {
-        if (now - m_writeStart > m_connections->settings().writeTimeout) {
-            close();
-        }
-        return;
-    }
-    if (m_current) {
-        return;
-    }
-    const bool isReadingRequest = m_parser.isInMessage();
-    const auto timeout = m_isClosing ? std::chrono::milliseconds(lingeringCloseTimeout)
-                                     : (isReadingRequest ? m_connections->readTimeout() : m_connections->idleTimeout());
-    if (now - m_lastActivity > timeout) {
-        close();
-    }
+    m_incoming.clear();
+    m_outputMemory = MemoryHold();
 }
 
 } // namespace lycheelanding::http
--- a/packages/http/src/private/serverconnection.h
+++ b/packages/http/src/private/serverconnection.h
@@ -2,6 +2,7 @@
 
 #include "lycheelanding/core/errorkind.h"
 #include "lycheelanding/http/httpserver.h"
+#include "private/incomingrequest.h"
 #include "private/messageparser.h"
 #include "private/serverconnections.h"
 
@@ -79,8 +80,15 @@
     /// Closes the connection when a timeout has passed.
     void checkTimeouts();
     void closeIfIdle();
+    /// Closes the connection if it has been inactive for long enough.
+    void closeIfInactive();
     void close();
 
+    /// Since when the connection may be closed so that another can be accepted; unset if it may not. It may when it
+    /// has received no bytes without an answer in progress, or its caller has accepted no bytes of an answer. May be
+    /// called on any thread.
+    std::optional<std::chrono::steady_clock::time_point> inactiveSince() const;
+
     // MessageSink
     bool onHead(ParsedHead head);
     void onBody(std::string_view bytes);
@@ -93,12 +101,30 @@
         ServerAnswerPointer answer;
         std::size_t bodyBytes = 0;
         bool endsAnswer = false;
+        /// What was drawn for it from the account.
+        std::size_t drawnBytes = 0;
+    };
+
+    /// A complete request whose exchange has not begun.
+    struct ReceivedRequest
+    {
+        HttpRequest request;
+        ServerAnswerPointer answer;
+        MemoryHold memory;
     };
 
     using TimePoint = std::chrono::steady_clock::time_point;
 
+    bool isWaitingForMemory() const { return m_selfWhileWaiting != nullptr; }
     bool isCurrent(const ServerAnswerPointer &answer) const;
     void read();
+    /// Draws the memory for the next read; false if the connection waits for it or was refused.
+    bool reserveMemory();
+    void onMemoryDrawn();
+    void refuseForMemory();
+    MemoryHold newHold(void (ServerConnection::*onClose)());
+    void closeIncomingForMemory();
+    void recordActivity();
     void onRead(const asio::error_code &error, std::size_t size);
     void parsePending();
     void refuse(core::ErrorKind kind);
@@ -117,11 +143,14 @@
     std::array<char, 4096> m_buffer{};
     /// Received bytes that have not been parsed yet.
     std::string m_pending;
-    HttpRequest m_incoming;
-    std::deque<std::pair<HttpRequest, ServerAnswerPointer>> m_requests;
+    IncomingRequest m_incoming;
+    std::deque<ReceivedRequest> m_requests;
     ServerAnswerPointer m_current;
     std::deque<Output> m_output;
+    MemoryHold m_outputMemory;
     bool m_isReading = false;
+    /// Set while the connection waits for memory: no pending operation keeps it alive then.
+    ServerConnectionPointer m_selfWhileWaiting;
     bool m_isWriting = false;
     bool m_isFlushPosted = false;
     bool m_isClosed = false;
@@ -129,15 +158,20 @@
     /// the caller closes its side.
     bool m_isClosing = false;
     TimePoint m_lastActivity = std::chrono::steady_clock::now();
+    TimePoint m_lastRead = m_lastActivity;
+    TimePoint m_waitStart;
     TimePoint m_writeStart;
+    /// When the connection may be closed for others at the earliest; TimePoint::max() while an answer is awaited.
+    std::atomic<TimePoint> m_closableFrom = m_lastActivity;
 };
 
 /// Keeps the request, the state of the answer and the connection of an exchange.
 class HttpExchange::Private
 {
 public:
-    Private(HttpRequest request, ServerAnswerPointer answer, ServerConnectionPointer connection)
-        : m_request(std::move(request)), m_answer(std::move(answer)), m_connection(std::move(connection))
+    Private(HttpRequest request, MemoryHold memory, ServerAnswerPointer answer, ServerConnectionPointer connection)
+        : m_memory(std::move(memory)), m_request(std::move(request)), m_answer(std::move(answer)),
+          m_connection(std::move(connection))
     { }
 
     const HttpRequest &request() const { return m_request; }
@@ -145,6 +179,8 @@
     const ServerConnectionPointer &connection() const { return m_connection; }
 
 private:
+    /// Released after the request, whose memory it accounts for.
+    const MemoryHold m_memory;
     const HttpRequest m_request;
     const ServerAnswerPointer m_answer;
     const ServerConnectionPointer m_connection;
--- a/packages/http/src/private/serverconnections.cpp
+++ b/packages/http/src/private/serverconnections.cpp
@@ -2,10 +2,18 @@
 
 #include "private/serverconnection.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheelanding::http {
 
+namespace {
+
+/// Further ones are closed at the next attempt to accept.
+constexpr std::size_t maxClosedAtOnce = 8;
+
+} // namespace
+
 ServerConnections::ServerConnections(asio::io_context &context, const HttpServerSettings &settings, HttpHandler handler)
     : m_context(context), m_settings(settings), m_handler(std::move(handler)), m_readTimeout(settings.readTimeout),
       m_idleTimeout(settings.idleTimeout)
@@ -42,6 +50,23 @@
     return m_connections.size();
 }
 
+void ServerConnections::closeLongestInactive() const
+{
+    std::vector<std::pair<std::chrono::steady_clock::time_point, ServerConnectionPointer>> inactive;
+    for (auto &connection : all()) {
+        if (const auto since = connection->inactiveSince()) {
+            inactive.emplace_back(*since, std::move(connection));
+        }
+    }
+    const auto count = std::min(inactive.size(), maxClosedAtOnce);
+    std::partial_sort(inactive.begin(), inactive.begin() + static_cast<std::ptrdiff_t>(count), inactive.end());
+    for (std::size_t index = 0; index < count; ++index) {
+        const auto &connection = inactive[index].second;
+        m_settings.memory->connectionReplaced();
+        connection->post([connection] { connection->closeIfInactive(); });
+    }
+}
+
 void ServerConnections::setTimeouts(std::chrono::milliseconds readTimeout, std::chrono::milliseconds idleTimeout)
 {
     m_readTimeout = readTimeout;
--- a/packages/http/src/private/serverconnections.h
+++ b/packages/http/src/private/serverconnections.h
@@ -28,6 +28,8 @@
     void remove(const ServerConnection *connection);
     std::vector<ServerConnectionPointer> all() const;
     std::size_t count() const;
+    /// Closes the connections that have been inactive for longest, a few at a time.
+    void closeLongestInactive() const;
 
     asio::io_context &context() const { return m_context; }
     const HttpServerSettings &settings() const { return m_settings; }
--- a/packages/report/include/lycheelanding/report/counters.h
+++ b/packages/report/include/lycheelanding/report/counters.h
@@ -23,6 +23,9 @@
     BackendLimitsStated,
     BackendTurnAways,
     RequestsSentInPauses,
+    RequestsRefusedForMemory,
+    ConnectionsClosedForMemory,
+    ConnectionsReplaced,
     // Answers between processes
     AnswersComplete,
     AnswersBroken,
@@ -86,6 +89,9 @@
     RequestsInFlight,
     RequestsQueued,
     PeersConnected,
+    CallerMemoryBytes,
+    CallerMemoryLimitBytes,
+    ConnectionsWaitingForMemory,
     MapVersion,
     Count,
 };
--- a/packages/report/src/counters.cpp
+++ b/packages/report/src/counters.cpp
@@ -46,6 +46,11 @@
     {Counter::RequestsSentInPauses,
      {"requests_sent_in_pauses",
       "Requests turned away by a backend server that had asked for none when they were sent"}},
+    {Counter::RequestsRefusedForMemory,
+     {"requests_refused_for_memory", "Requests refused as no memory became free to receive them"}},
+    {Counter::ConnectionsClosedForMemory,
+     {"connections_closed_for_memory", "Callers' connections without progress closed to free memory"}},
+    {Counter::ConnectionsReplaced, {"connections_replaced", "Inactive connections of callers closed to accept others"}},
     {Counter::AnswersComplete, {"answers_complete", "Answers with final frame, chunk count and checksum in order"}},
     {Counter::AnswersBroken, {"answers_broken", "Answers that ended without their final frame"}},
     {Counter::AnswersMalformed, {"answers_malformed", "Answers of backend servers that broke the protocol or a limit"}},
@@ -104,6 +109,10 @@
     {Gauge::RequestsInFlight, {"requests_in_flight", "Requests in progress"}},
     {Gauge::RequestsQueued, {"requests_queued", "Requests that wait"}},
     {Gauge::PeersConnected, {"peers_connected", "Connections to other processes"}},
+    {Gauge::CallerMemoryBytes, {"caller_memory_bytes", "Memory drawn for requests and unsent answers of callers"}},
+    {Gauge::CallerMemoryLimitBytes, {"caller_memory_limit_bytes", "Memory that callers may occupy"}},
+    {Gauge::ConnectionsWaitingForMemory,
+     {"connections_waiting_for_memory", "Callers' connections that are not read as there is no memory"}},
     {Gauge::MapVersion, {"map_version", "Expert map version in force"}},
 }});
 
