Own interface: account of callers' memory with a derived size

Entries and sides of the own interface have no setting for the memory of their machine, so the account is derived from half of it. Their accounts have no gauges yet. A test serves one body of 4 MiB on an entry with 64 MB.

The crowd was not played against the own interface.

--- a/packages/daemon/src/shared/endpoints.cpp
+++ b/packages/daemon/src/shared/endpoints.cpp
@@ -2,10 +2,31 @@
 
 #include "runtime/startupreport.h"
 
+#include <unistd.h>
+
+#include <memory>
+
 namespace lycheelanding::daemon::shared {
 
 namespace {
 
+/// Callers may occupy what an account derives from half of the machine's memory: backend servers and other processes
+/// run on the same VMs.
+constexpr std::size_t machineMemoryDivisor = 2;
+
+http::CallerMemoryPointer callerMemory(std::size_t maxBodyBytes)
+{
+    const long pages = ::sysconf(_SC_PHYS_PAGES);
+    const long pageBytes = ::sysconf(_SC_PAGESIZE);
+    if (pages <= 0 || pageBytes <= 0) {
+        return nullptr;
+    }
+    const auto machineBytes = static_cast<std::size_t>(pages) * static_cast<std::size_t>(pageBytes);
+    decisions::admission::MemoryAccountSettings account;
+    account.shares = decisions::admission::memorySharesOf(machineBytes / machineMemoryDivisor, maxBodyBytes);
+    return std::make_shared<http::CallerMemory>(account);
+}
+
 http::HttpServerSettings serverSettings(const asio::ip::tcp::endpoint &endpoint, const HttpBounds &bounds)
 {
     http::HttpServerSettings settings;
@@ -13,6 +34,7 @@
     settings.port = endpoint.port();
     settings.maxHeaderValueBytes = bounds.maxHeaderValueBytes.value_or(settings.maxHeaderValueBytes);
     settings.readTimeout = bounds.readTimeout.value_or(settings.readTimeout);
+    settings.memory = callerMemory(settings.maxBodyBytes);
     return settings;
 }
 
--- a/tests/hostilecallers/hostilecallerstest.cpp
+++ b/tests/hostilecallers/hostilecallerstest.cpp
@@ -122,6 +122,14 @@
 
 } // namespace
 
+// The share of large bodies was smaller than one body on VMs with little memory.
+TEST(HostileCallers, singleRequestOfTheLargestSizeIsServed)
+{
+    const PlatformEntry entry;
+    EXPECT_EQ(entry.ordinaryRequest(maxBodyBytes), 200);
+    EXPECT_LE(entry.peakMemoryKb(), PlatformEntry::memoryMb * 1024);
+}
+
 // The failures that the cases guard against: a process that the operating system ends for its memory, one that fails to
 // accept or to reach backend servers for lack of descriptors, and ordinary callers without an answer.
 
--- a/tests/hostilecallers/platformentry.cpp
+++ b/tests/hostilecallers/platformentry.cpp
@@ -180,9 +180,9 @@
     return static_cast<std::size_t>(std::distance(begin(files), end(files)));
 }
 
-int PlatformEntry::ordinaryRequest() const
+int PlatformEntry::ordinaryRequest(std::size_t bodyBytes) const
 {
-    return statusOf("POST", m_frontPort, "/plain/ordinary", "a small body");
+    return statusOf("POST", m_frontPort, "/plain/ordinary", std::string(bodyBytes, 'x'));
 }
 
 } // namespace lycheelanding::tests
--- a/tests/hostilecallers/platformentry.h
+++ b/tests/hostilecallers/platformentry.h
@@ -35,7 +35,7 @@
     std::size_t peakMemoryKb() const;
     std::size_t openDescriptors() const;
     /// Sends an ordinary request on a connection of its own and returns the status of its answer, 0 without one.
-    int ordinaryRequest() const;
+    int ordinaryRequest(std::size_t bodyBytes = 10) const;
 
 private:
     void handleStore(const http::HttpExchangePointer &exchange);
