Memory account: answers beyond the shares close their holders at once

Trial of the crowd with 600 callers at 112 MB and 2870 descriptors: answers that are never read occupied 123312 kB, as their connections were kept for a second, and the check for room looked at the share of small requests, so that none was closed. A connection could also be closed for another one right after it was accepted, so that the ordinary request got no answer in one trial; it now has the same 200 ms as others.

hostile-caller-tests 11 (twice), http-tests 41, forwarding-tests 126, decisions-tests MemoryAccount* 5 passed.

--- a/packages/decisions/include/lycheelanding/decisions/admission/memoryaccount.h
+++ b/packages/decisions/include/lycheelanding/decisions/admission/memoryaccount.h
@@ -56,7 +56,8 @@
     /// Whether the holder may be closed; not while a backend server works on its request.
     void setClosable(MemoryHolder holder, bool isClosable);
     /// Holders to close so that a holder with no memory yet can draw `bytes`: those that have held the most without
-    /// progress for the longest first. Each is returned once; its memory is released by remove().
+    /// progress for the longest first. With 0 bytes, holders to close until the shares are not exceeded any more, also
+    /// active ones. Each is returned once; its memory is released by remove().
     std::vector<MemoryHolder> holdersToClose(std::size_t bytes, core::TimePoint now);
 
     bool isSmall(std::size_t bytes) const { return bytes <= m_settings.smallRequestBytes; }
--- a/packages/decisions/src/admission/memoryaccount.cpp
+++ b/packages/decisions/src/admission/memoryaccount.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t smallDivisor = 4;
 constexpr std::size_t unreadDivisor = 4;
 
+/// Added to the inactivity, so that of holders that are all active the largest is closed.
+constexpr std::chrono::milliseconds minCountedInactivity{1};
+
 } // namespace
 
 MemoryShares memorySharesOf(std::size_t vmBytes, std::size_t maxBodyBytes)
@@ -118,6 +121,8 @@
 
 std::vector<MemoryHolder> MemoryAccount::holdersToClose(std::size_t bytes, core::TimePoint now)
 {
+    // What is drawn beyond the shares is in the process already: to wait would exhaust the memory.
+    const bool closesActive = bytes == 0;
     std::size_t freedSmall = 0;
     std::size_t freedLarge = 0;
     std::vector<std::pair<double, MemoryHolder>> candidates;
@@ -126,16 +131,18 @@
         if (holder.isClosing) {
             freedSmall += holder.smallBytes;
             freedLarge += holder.largeBytes;
-        } else if (holder.isClosable && inactivity >= m_settings.minInactivity) {
-            const std::size_t freed = holder.largeBytes + (isSmall(bytes) ? holder.smallBytes : 0);
-            candidates.emplace_back(static_cast<double>(freed) * std::chrono::duration<double>(inactivity).count(), id);
+        } else if (holder.isClosable && (closesActive || inactivity >= m_settings.minInactivity)) {
+            const std::size_t freed = holder.largeBytes + (isSmall(bytes) && !closesActive ? holder.smallBytes : 0);
+            candidates.emplace_back(static_cast<double>(freed)
+                                        * std::chrono::duration<double>(inactivity + minCountedInactivity).count(),
+                                    id);
         }
     }
     std::sort(candidates.rbegin(), candidates.rend());
     std::vector<MemoryHolder> result;
     for (const auto &[cost, id] : candidates) {
         const bool fits = m_largeHeld - freedLarge + bytes <= m_settings.shares.largeBytes
-            || (isSmall(bytes) && m_smallHeld - freedSmall + bytes <= m_settings.shares.smallBytes);
+            || (!closesActive && isSmall(bytes) && m_smallHeld - freedSmall + bytes <= m_settings.shares.smallBytes);
         if (fits || cost == 0.0) {
             break;
         }
--- a/packages/decisions/tests/admission/memoryaccounttest.cpp
+++ b/packages/decisions/tests/admission/memoryaccounttest.cpp
@@ -78,6 +78,20 @@
     EXPECT_TRUE(account.holdersToClose(2 * bodyBytes, later).empty()) << "the slow one makes progress";
 }
 
+// Answers for 600 callers that read nothing arrived within the time for which inactive callers are kept, and occupied
+// more than the memory of the VM.
+TEST(MemoryAccount, closesActiveHoldersWhenTheSharesAreExceeded)
+{
+    MemoryAccount account(settings());
+    const auto small = holderOf(account, bodyBytes, start);
+    const auto large = holderOf(account, bodyBytes, start);
+    account.drawExisting(large, bodyBytes);
+    EXPECT_EQ(account.holdersToClose(0, start), std::vector<MemoryHolder>{large});
+    account.remove(large);
+    EXPECT_TRUE(account.holdersToClose(0, start).empty());
+    account.remove(small);
+}
+
 // An account that loses bytes refuses all callers in the end, and one that gains bytes bounds nothing.
 RC_GTEST_PROP(MemoryAccountFuzz, heldBytesStayWithinTheSharesAndAddUp, ())
 {
--- a/packages/http/src/private/serverconnection.cpp
+++ b/packages/http/src/private/serverconnection.cpp
@@ -51,7 +51,9 @@
 ServerConnection::ServerConnection(asio::ip::tcp::socket socket, ConnectionsPointer connections)
     : m_socket(std::move(socket)), m_strand(connections->context().get_executor()),
       m_connections(std::move(connections)), m_parser(MessageType::Request, boundsOf(m_connections->settings()), *this)
-{ }
+{
+    recordActivity();
+}
 
 ServerConnection::~ServerConnection()
 {
--- a/packages/http/src/private/serverconnection.h
+++ b/packages/http/src/private/serverconnection.h
@@ -162,7 +162,7 @@
     TimePoint m_waitStart;
     TimePoint m_writeStart;
     /// When the connection may be closed for others at the earliest; TimePoint::max() while an answer is awaited.
-    std::atomic<TimePoint> m_closableFrom = m_lastActivity;
+    std::atomic<TimePoint> m_closableFrom = TimePoint::max();
 };
 
 /// Keeps the request, the state of the answer and the connection of an exchange.
