Memory account: growing bodies no longer hold up small requests

The queue of a waiting connection, and the check for room before others are closed, looked at the size of the next draw alone. The 64 kB steps of a large chunked body therefore waited among the small requests: these stood behind it although their share had room, and no holder was closed for it, as the same share seemed to fit. What a holder already has now counts too.

--- a/packages/decisions/include/lycheelanding/decisions/admission/memoryaccount.h
+++ b/packages/decisions/include/lycheelanding/decisions/admission/memoryaccount.h
@@ -55,12 +55,13 @@
     void progressed(MemoryHolder holder, core::TimePoint now);
     /// Whether the holder may be closed; not while a backend server works on its request.
     void setClosable(MemoryHolder holder, bool isClosable);
-    /// Holders to close so that a holder with no memory yet can draw `bytes`: those that have held the most without
+    /// Holders to close so that a holder of `heldBytes` can draw `bytes`: those that have held the most without
     /// progress for the longest first. With 0 bytes, holders to close until the shares are not exceeded any more, also
     /// active ones. Each is returned once; its memory is released by remove().
-    std::vector<MemoryHolder> holdersToClose(std::size_t bytes, core::TimePoint now);
+    std::vector<MemoryHolder> holdersToClose(std::size_t bytes, core::TimePoint now, std::size_t heldBytes = 0);
 
     bool isSmall(std::size_t bytes) const { return bytes <= m_settings.smallRequestBytes; }
+    std::size_t heldBytes(MemoryHolder holder) const;
     std::size_t heldBytes() const { return m_smallHeld + m_largeHeld; }
     std::size_t limitBytes() const { return m_settings.shares.smallBytes + m_settings.shares.largeBytes; }
     std::size_t holderCount() const { return m_holders.size(); }
--- a/packages/decisions/src/admission/memoryaccount.cpp
+++ b/packages/decisions/src/admission/memoryaccount.cpp
@@ -48,6 +48,12 @@
     return found == m_holders.end() ? nullptr : &found->second;
 }
 
+std::size_t MemoryAccount::heldBytes(MemoryHolder holder) const
+{
+    const auto found = m_holders.find(holder);
+    return found == m_holders.end() ? 0 : found->second.smallBytes + found->second.largeBytes;
+}
+
 void MemoryAccount::remove(MemoryHolder holder)
 {
     if (const auto *held = find(holder)) {
@@ -119,10 +125,11 @@
     }
 }
 
-std::vector<MemoryHolder> MemoryAccount::holdersToClose(std::size_t bytes, core::TimePoint now)
+std::vector<MemoryHolder> MemoryAccount::holdersToClose(std::size_t bytes, core::TimePoint now, std::size_t heldBytes)
 {
     // What is drawn beyond the shares is in the process already: to wait would exhaust the memory.
     const bool closesActive = bytes == 0;
+    const bool mayDrawSmall = !closesActive && isSmall(heldBytes + bytes);
     std::size_t freedSmall = 0;
     std::size_t freedLarge = 0;
     std::vector<std::pair<double, MemoryHolder>> candidates;
@@ -132,7 +139,7 @@
             freedSmall += holder.smallBytes;
             freedLarge += holder.largeBytes;
         } else if (holder.isClosable && (closesActive || inactivity >= m_settings.minInactivity)) {
-            const std::size_t freed = holder.largeBytes + (isSmall(bytes) && !closesActive ? holder.smallBytes : 0);
+            const std::size_t freed = holder.largeBytes + (mayDrawSmall ? holder.smallBytes : 0);
             candidates.emplace_back(static_cast<double>(freed)
                                         * std::chrono::duration<double>(inactivity + minCountedInactivity).count(),
                                     id);
@@ -142,7 +149,7 @@
     std::vector<MemoryHolder> result;
     for (const auto &[cost, id] : candidates) {
         const bool fits = m_largeHeld - freedLarge + bytes <= m_settings.shares.largeBytes
-            || (!closesActive && isSmall(bytes) && m_smallHeld - freedSmall + bytes <= m_settings.shares.smallBytes);
+            || (mayDrawSmall && m_smallHeld - freedSmall + bytes <= m_settings.shares.smallBytes);
         if (fits || cost == 0.0) {
             break;
         }
--- a/packages/http/include/lycheelanding/http/callermemory.h
+++ b/packages/http/include/lycheelanding/http/callermemory.h
@@ -58,8 +58,10 @@
         std::function<void()> onDrawn;
     };
 
+    /// The queue in which the holder waits for `bytes`.
+    std::deque<Waiting> &waitingWith(MemoryHolder holder, std::size_t bytes);
     // Called with the lock held; return the handlers that the caller runs afterwards.
-    Handlers closeFor(std::size_t bytes);
+    Handlers closeFor(MemoryHolder holder, std::size_t bytes);
     Handlers drawForWaiting();
     static void run(const Handlers &handlers);
 
@@ -68,7 +70,8 @@
     mutable std::mutex m_mutex;
     decisions::admission::MemoryAccount m_account;
     std::map<MemoryHolder, std::function<void()>> m_onClose;
-    /// In the order of arrival. Small ones have their own queue, as they need not wait for room for a large one.
+    /// In the order of arrival. Small ones have their own queue, as they need not wait for room for a large one. A
+    /// holder is small by what it will hold: the steps of a large chunked body are small.
     std::deque<Waiting> m_smallWaiting;
     std::deque<Waiting> m_largeWaiting;
     std::atomic<std::uint64_t> m_closedConnections = 0;
--- a/packages/http/src/callermemory.cpp
+++ b/packages/http/src/callermemory.cpp
@@ -56,10 +56,9 @@
     {
         const std::lock_guard lock(m_mutex);
         // Later requests do not overtake those that wait.
-        const bool mustWait = !(m_account.isSmall(bytes) ? m_smallWaiting : m_largeWaiting).empty();
-        isDrawn = !mustWait && m_account.draw(holder, bytes);
+        isDrawn = waitingWith(holder, bytes).empty() && m_account.draw(holder, bytes);
         if (!isDrawn) {
-            handlers = closeFor(bytes);
+            handlers = closeFor(holder, bytes);
         }
     }
     run(handlers);
@@ -72,7 +71,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_account.drawExisting(holder, bytes);
-        handlers = closeFor(0);
+        handlers = closeFor(holder, 0);
     }
     run(handlers);
 }
@@ -106,7 +105,7 @@
     if (m_smallWaiting.size() + m_largeWaiting.size() >= m_maxWaiting) {
         return false;
     }
-    (m_account.isSmall(bytes) ? m_smallWaiting : m_largeWaiting).push_back({holder, bytes, std::move(onDrawn)});
+    waitingWith(holder, bytes).push_back({holder, bytes, std::move(onDrawn)});
     return true;
 }
 
@@ -118,7 +117,7 @@
         handlers = drawForWaiting();
         for (const auto *waiting : {&m_smallWaiting, &m_largeWaiting}) {
             if (!waiting->empty()) {
-                auto more = closeFor(waiting->front().bytes);
+                auto more = closeFor(waiting->front().holder, waiting->front().bytes);
                 std::move(more.begin(), more.end(), std::back_inserter(handlers));
             }
         }
@@ -126,12 +125,17 @@
     run(handlers);
 }
 
-CallerMemory::Handlers CallerMemory::closeFor(std::size_t bytes)
+std::deque<CallerMemory::Waiting> &CallerMemory::waitingWith(MemoryHolder holder, std::size_t bytes)
+{
+    return m_account.isSmall(m_account.heldBytes(holder) + bytes) ? m_smallWaiting : m_largeWaiting;
+}
+
+CallerMemory::Handlers CallerMemory::closeFor(MemoryHolder holder, std::size_t bytes)
 {
     Handlers handlers;
-    for (const auto holder : m_account.holdersToClose(bytes, now())) {
+    for (const auto each : m_account.holdersToClose(bytes, now(), m_account.heldBytes(holder))) {
         ++m_closedConnections;
-        handlers.push_back(m_onClose.at(holder));
+        handlers.push_back(m_onClose.at(each));
     }
     return handlers;
 }
--- a/packages/http/tests/servermemorytest.cpp
+++ b/packages/http/tests/servermemorytest.cpp
@@ -94,4 +94,24 @@
     EXPECT_EQ(settings.memory->heldBytes(), 0U);
 }
 
+// Steps of a growing chunked body counted as small requests: small ones waited behind it although their share had room.
+TEST(CallerMemory, growingBodyThatWaitsDoesNotHoldUpSmallRequests)
+{
+    constexpr std::size_t step = 64UL * 1024;
+    decisions::admission::MemoryAccountSettings account;
+    account.shares = {16 * step, step, 1024UL * 1024};
+    account.minInactivity = core::Duration::zero();
+    const auto memory = std::make_shared<CallerMemory>(account);
+    bool isClosed = false;
+    MemoryHold large(memory, [&isClosed] { isClosed = true; });
+    large.setClosable(true);
+    EXPECT_TRUE(large.draw(step));
+    EXPECT_TRUE(large.draw(step));
+    EXPECT_FALSE(large.draw(step));
+    EXPECT_TRUE(isClosed);
+    EXPECT_TRUE(large.waitForRoom(step, [] {}));
+    MemoryHold small(memory, [] {});
+    EXPECT_TRUE(small.draw(step / 16));
+}
+
 } // namespace lycheelanding::http
