Entries no longer cut off answers that arrive faster than callers read

With an account the kernel's buffer of a caller's connection holds 64 kB instead of up to 4 MB, but an answer was still aborted at 256 kB unsent. Where an account bounds the memory, 4 MB may now be unsent; it closes the holders of unread answers when they exceed its shares.

--- a/packages/forwarding/src/calleranswer.cpp
+++ b/packages/forwarding/src/calleranswer.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t maxHeldBytes = 64UL * 1024;
 /// Unsent bytes for a slow caller above which the answer is aborted.
 constexpr std::size_t maxUnsentBytes = 256UL * 1024;
+/// The same where an account bounds the memory. The kernel's buffers are small there: without, they take up to 4 MB of
+/// an answer that arrives faster than its caller can read.
+constexpr std::size_t maxAccountedUnsentBytes = 4UL * 1024 * 1024;
 /// Bytes of a stream without a new event: another backend server may begin it anew.
 constexpr std::size_t maxRepeatedBytes = 1024UL * 1024;
 constexpr int firstRedirect = 300;
@@ -111,7 +114,7 @@
 
 bool CallerAnswer::isCallerTooSlow() const
 {
-    return m_exchange->unsentBytes() > maxUnsentBytes;
+    return m_exchange->unsentBytes() > (m_exchange->hasMemoryAccount() ? maxAccountedUnsentBytes : maxUnsentBytes);
 }
 
 } // namespace lycheelanding::forwarding
--- a/packages/http/include/lycheelanding/http/httpserver.h
+++ b/packages/http/include/lycheelanding/http/httpserver.h
@@ -48,6 +48,8 @@
     const HttpRequest &request() const;
     /// Body bytes of the answer that have not been written to the socket yet.
     std::size_t unsentBytes() const;
+    /// Whether an account bounds the memory of unsent bytes and the kernel's buffers.
+    bool hasMemoryAccount() const;
 
 private:
     std::unique_ptr<Private> m_d;
--- a/packages/http/src/httpexchange.cpp
+++ b/packages/http/src/httpexchange.cpp
@@ -84,4 +84,9 @@
     return m_d->answer()->unsentBytes;
 }
 
+bool HttpExchange::hasMemoryAccount() const
+{
+    return m_d->connection()->hasMemoryAccount();
+}
+
 } // namespace lycheelanding::http
--- a/packages/http/src/private/serverconnection.h
+++ b/packages/http/src/private/serverconnection.h
@@ -89,6 +89,8 @@
     /// called on any thread.
     std::optional<std::chrono::steady_clock::time_point> inactiveSince() const;
 
+    bool hasMemoryAccount() const { return m_connections->settings().memory != nullptr; }
+
     // MessageSink
     bool onHead(ParsedHead head);
     void onBody(std::string_view bytes);
--- a/tests/hostilecallers/hostilecallerstest.cpp
+++ b/tests/hostilecallers/hostilecallerstest.cpp
@@ -130,6 +130,13 @@
     EXPECT_LE(entry.peakMemoryKb(), PlatformEntry::memoryMb * 1024);
 }
 
+// Answers that arrive faster than a caller reads were cut off at 256 kB, as the kernel's buffers are small.
+TEST(HostileCallers, answerLargerThanTheBuffersIsServed)
+{
+    const PlatformEntry entry;
+    EXPECT_EQ(entry.mediumAnswer(), PlatformEntry::mediumAnswerBytes);
+}
+
 // The failures that the cases guard against: a process that the operating system ends for its memory, one that fails to
 // accept or to reach backend servers for lack of descriptors, and ordinary callers without an answer.
 
--- a/tests/hostilecallers/platformentry.h
+++ b/tests/hostilecallers/platformentry.h
@@ -23,6 +23,8 @@
     static constexpr std::size_t memoryMb = 64;
     static constexpr std::size_t maxFds = 128;
 
+    static constexpr std::size_t mediumAnswerBytes = 2UL * 1024 * 1024;
+
     /// Starts the process and waits until it is ready.
     PlatformEntry();
     ~PlatformEntry();
@@ -36,6 +38,8 @@
     std::size_t openDescriptors() const;
     /// Sends an ordinary request on a connection of its own and returns the status of its answer, 0 without one.
     int ordinaryRequest(std::size_t bodyBytes = 10) const;
+    /// Requests an answer of mediumAnswerBytes and returns the size of what arrives, 0 if it is incomplete.
+    std::size_t mediumAnswer() const;
 
 private:
     void handleStore(const http::HttpExchangePointer &exchange);
