Readiness is answered while idle connections occupy its port

The readiness port accepts 16 connections since descriptors are bounded, and further ones were closed at once: probes that leave their connections open occupied all of them until the idle timeout. It now uses the account too, with which the connection that has been inactive for longest is closed for a new one. A connection of its own is now enforced in the tests' requests: their header did not keep the client from reusing an idle connection.

--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -32,9 +32,10 @@
     return settings;
 }
 
-http::HttpServerSettings callerServerSettings(const EntryServerSettings &entry)
+http::HttpServerSettings accountedSettings(const EntryServerSettings &entry, const asio::ip::tcp::endpoint &endpoint,
+                                           std::size_t maxConnections)
 {
-    auto settings = serverSettings(entry.callerEndpoint, entry.maxConnections);
+    auto settings = serverSettings(endpoint, maxConnections);
     settings.memory = entry.callerMemory;
     return settings;
 }
@@ -51,9 +52,10 @@
                      [this] { cancelHeldAttempts(); }),
       m_backendLeaves([this](const BackendId &id) { backendLeaves(id); }), m_earlyTimer(context),
       m_drain(m_settings.drain), m_drainTimer(context),
-      m_callerServer(context, callerServerSettings(m_settings),
+      m_callerServer(context, accountedSettings(m_settings, m_settings.callerEndpoint, m_settings.maxConnections),
                      [this](const auto &exchange) { handleRequest(exchange); }),
-      m_readinessServer(context, serverSettings(m_settings.readinessEndpoint, m_settings.maxReadinessConnections),
+      m_readinessServer(context,
+                        accountedSettings(m_settings, m_settings.readinessEndpoint, m_settings.maxReadinessConnections),
                         [this](const auto &exchange) { handleReadiness(exchange); })
 {
     m_intakeTracker.cold().setBounds(m_settings.coldBounds);
--- a/tests/hostilecallers/hostilecallerstest.cpp
+++ b/tests/hostilecallers/hostilecallerstest.cpp
@@ -137,6 +137,19 @@
     EXPECT_EQ(entry.mediumAnswer(), PlatformEntry::mediumAnswerBytes);
 }
 
+// Probes that leave their connections open occupied all those of the readiness port, and further ones were reset.
+TEST(HostileCallers, readinessIsAnsweredDespiteIdleConnections)
+{
+    const PlatformEntry entry;
+    asio::io_context context;
+    std::vector<HostileCaller> callers;
+    constexpr std::size_t moreThanAccepted = 40;
+    for (std::size_t number = 0; number < moreThanAccepted; ++number) {
+        callers.emplace_back(context, entry.readinessPort());
+    }
+    EXPECT_EQ(entry.readinessStatus(), 200);
+}
+
 // The failures that the cases guard against: a process that the operating system ends for its memory, one that fails to
 // accept or to reach backend servers for lack of descriptors, and ordinary callers without an answer.
 
--- a/tests/hostilecallers/platformentry.cpp
+++ b/tests/hostilecallers/platformentry.cpp
@@ -56,7 +56,7 @@
     request.method = method;
     request.url = "http://127.0.0.1:" + std::to_string(port) + target;
     request.headers.add("Host", "callers.example");
-    request.headers.add("Connection", "close");
+    request.sharesConnection = false;
     request.body = body;
     request.timeout = std::chrono::seconds(40);
     return client.fetchAndWait(request);
@@ -118,9 +118,14 @@
                                     << "\nLimits.MemoryMb=" << memoryMb << "\nLimits.MaxFds=" << maxFds << '\n';
 }
 
+int PlatformEntry::readinessStatus() const
+{
+    return statusOf("GET", m_readinessPort, "/-/readiness");
+}
+
 bool PlatformEntry::isReady() const
 {
-    return statusOf("GET", m_readinessPort, "/-/readiness") == statusOk && ordinaryRequest() == statusOk;
+    return readinessStatus() == statusOk && ordinaryRequest() == statusOk;
 }
 
 std::string PlatformEntry::listing(const std::string &prefix) const
--- a/tests/hostilecallers/platformentry.h
+++ b/tests/hostilecallers/platformentry.h
@@ -32,6 +32,9 @@
     PlatformEntry &operator=(const PlatformEntry &) = delete;
 
     std::uint16_t port() const { return m_frontPort; }
+    std::uint16_t readinessPort() const { return m_readinessPort; }
+    /// Status of the answer to a probe on a connection of its own, 0 without an answer.
+    int readinessStatus() const;
     bool isAlive() const;
     /// The largest resident memory of the process so far.
     std::size_t peakMemoryKb() const;
