Memory account: requests completed before their close are not counted as freed

A holder chosen to be closed whose request was completed meanwhile keeps its memory until it is answered, but counted as about to be released: nothing else was closed, and others waited until they were refused.

--- a/packages/decisions/src/admission/memoryaccount.cpp
+++ b/packages/decisions/src/admission/memoryaccount.cpp
@@ -122,6 +122,7 @@
 {
     if (auto *const held = find(holder)) {
         held->isClosable = isClosable;
+        held->isClosing = held->isClosing && isClosable;
     }
 }
 
--- a/packages/decisions/tests/admission/memoryaccounttest.cpp
+++ b/packages/decisions/tests/admission/memoryaccounttest.cpp
@@ -50,6 +50,17 @@
     EXPECT_EQ(account.heldBytes(), 2 * bodyBytes);
 }
 
+// A request that is completed before it is closed keeps its memory; nothing else was closed while it was forwarded.
+TEST(MemoryAccount, holderThatIsNoLongerClosableIsNotCountedAsFreed)
+{
+    MemoryAccount account(settings());
+    const auto completed = holderOf(account, bodyBytes, start);
+    EXPECT_EQ(account.holdersToClose(2 * bodyBytes, later), std::vector<MemoryHolder>{completed});
+    const auto stopped = holderOf(account, bodyBytes, start);
+    account.setClosable(completed, false);
+    EXPECT_EQ(account.holdersToClose(bodyBytes, later), std::vector<MemoryHolder>{stopped});
+}
+
 // Requests of the smallest VM that is deployed were refused although nothing else was held.
 TEST(MemoryAccount, singleRequestWithinTheLimitsAlwaysFits)
 {
