--- a/tests/hostilecallers/platformentry.h
+++ b/tests/hostilecallers/platformentry.h
@@ -23,6 +23,8 @@
     static constexpr std::size_t memoryMb = 64;
     static constexpr std::size_t maxFds = 128;
 
+    static constexpr std::size_t mediumAnswerBytes = 2UL * 1024 * 1024;
+
     /// Starts the process and waits until it is ready.
     PlatformEntry();
     ~PlatformEntry();
@@ -30,12 +32,17 @@
     PlatformEntry &operator=(const PlatformEntry &) = delete;
 
     std::uint16_t port() const { return m_frontPort; }
+    std::uint16_t readinessPort() const { return m_readinessPort; }
+    /// Status of the answer to a probe on a connection of its own, 0 without an answer.
+    int readinessStatus() const;
     bool isAlive() const;
     /// The largest resident memory of the process so far.
     std::size_t peakMemoryKb() const;
     std::size_t openDescriptors() const;
     /// Sends an ordinary request on a connection of its own and returns the status of its answer, 0 without one.
     int ordinaryRequest(std::size_t bodyBytes = 10) const;
+    /// Requests an answer of mediumAnswerBytes and returns the size of what arrives, 0 if it is incomplete.
+    std::size_t mediumAnswer() const;
 
 private:
     void handleStore(const http::HttpExchangePointer &exchange);
