--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -107,6 +107,8 @@
     /// Sends to engines only what can be served within the streams' target interval, also during the next peak of their
     /// pass duration; requests beyond that wait or are refused.
     void setAdmitsInTimeOnly(bool admitsInTimeOnly) { m_admitsInTimeOnly = admitsInTimeOnly; }
+    /// Whether this limits the requests to a rank group of the service now.
+    bool hasInTimeLimit(const core::ServiceId &service, core::Duration maxEventInterval, core::TimePoint now) const;
     /// Whether the first status update of a backend server of such a service is still awaited.
     bool isAwaitingStatus(const RegisteredBackend &backend, core::TimePoint now) const;
     /// Whether the side of a backend server has sent status updates, but not recently: its VM may be gone or suspended.
@@ -192,14 +194,10 @@
     /// Number of requests that may be in progress at the backend server.
     double capacityOf(const RegisteredBackend &backend, const BackendLoad &load, const BackendRequirements &request,
                       core::TimePoint now) const;
-    /// Whether the request's target interval must hold during peaks of the pass duration, too.
-    bool isLimitedByPeak(const BackendRequirements &request) const
-    {
-        return m_admitsInTimeOnly && request.maxEventInterval > core::Duration::zero();
-    }
-    /// Mean number of requests that the ranks of the group may run within the request's target interval.
-    double inTimeCapacityOf(const RegisteredBackend &backend, const core::GroupId &group,
-                            const BackendRequirements &request, core::TimePoint now) const;
+    /// Mean number of requests that the ranks of the group may run within the target interval, also during peaks of the
+    /// pass duration; nullopt if there is no target, or too few of them can be in time.
+    std::optional<double> inTimeCapacityOf(const RegisteredBackend &backend, const core::GroupId &group,
+                                           core::Duration maxEventInterval, core::TimePoint now) const;
     /// Groups of the service whose ranks run as many requests on average as they can in time.
     std::set<core::GroupId> fullGroups(const BackendRequirements &request, core::TimePoint now) const;
     /// The same for requests of this entry at a backend server of whose load nothing is reported.
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -34,10 +34,12 @@
 /// Maximum pass duration in percent of the maximum event interval: the rest covers requests that other entries send at
 /// the same time, prefill, and the transmission of the event.
 constexpr int maxPassPercent = 92;
-/// The same two values where only requests in time are admitted. The peak duration covers what makes passes longer, so
-/// that less of the interval is kept free; a group with an uneven map may need few requests to be in time.
-constexpr int maxPeakPassPercent = 97;
-constexpr double minInTimeCapacityFraction = 0.3;
+/// The same where only requests in time are admitted: the peak duration covers the causes of longer passes but those
+/// that vary from pass to pass.
+constexpr int maxPeakPassPercent = 88;
+/// Below this fraction of the slots the limit is not applied: so few requests would be in time that late answers to all
+/// serve callers better. A third of the slots finishes less than half of the requests that all slots do.
+constexpr double minInTimeCapacityFraction = 0.35;
 /// A rank may run this many times the mean of its group: the passes of a group depend on the sum over its ranks, and
 /// the loads of ranks are only known approximately.
 constexpr double maxRankOverGroupMean = 1.4;
@@ -258,28 +260,39 @@
     return ranks > 0 ? sum / ranks : 0.0;
 }
 
-double BackendSet::inTimeCapacityOf(const RegisteredBackend &backend, const core::GroupId &group,
-                                    const BackendRequirements &request, core::TimePoint now) const
+std::optional<double> BackendSet::inTimeCapacityOf(const RegisteredBackend &backend, const core::GroupId &group,
+                                                   core::Duration maxEventInterval, core::TimePoint now) const
 {
-    const auto slots = static_cast<double>(backend.slots);
     const auto passModel = m_passModels.find(group);
-    const auto limit = passModel != m_passModels.end()
-        ? passModel->second.maxRunningAtPeak(percentOf(request.maxEventInterval, maxPeakPassPercent), now)
-        : std::nullopt;
-    return std::clamp(limit.value_or(slots * minCapacityFraction), slots * minInTimeCapacityFraction, slots);
+    if (!m_admitsInTimeOnly || maxEventInterval <= core::Duration::zero() || passModel == m_passModels.end()) {
+        return std::nullopt;
+    }
+    const auto slots = static_cast<double>(backend.slots);
+    const auto limit = passModel->second.maxRunningAtPeak(percentOf(maxEventInterval, maxPeakPassPercent), now);
+    return limit && *limit >= slots * minInTimeCapacityFraction ? std::optional(std::min(*limit, slots)) : std::nullopt;
+}
+
+bool BackendSet::hasInTimeLimit(const core::ServiceId &service, core::Duration maxEventInterval,
+                                core::TimePoint now) const
+{
+    return m_admitsInTimeOnly && std::any_of(m_backends.begin(), m_backends.end(), [&](const auto &item) {
+               return item.second.service == service
+                   && inTimeCapacityOf(item.second, groupOf(item.first), maxEventInterval, now);
+           });
 }
 
 std::set<core::GroupId> BackendSet::fullGroups(const BackendRequirements &request, core::TimePoint now) const
 {
     std::set<core::GroupId> checked;
     std::set<core::GroupId> full;
-    if (!isLimitedByPeak(request)) {
+    if (!m_admitsInTimeOnly) {
         return full;
     }
     for (const auto &[id, backend] : m_backends) {
         const auto group = groupOf(id);
         const bool isNew = backend.service == request.service && !group.isEmpty() && checked.insert(group).second;
-        if (isNew && meanRunning(group, now) >= inTimeCapacityOf(backend, group, request, now)) {
+        const auto limit = isNew ? inTimeCapacityOf(backend, group, request.maxEventInterval, now) : std::nullopt;
+        if (limit && meanRunning(group, now) >= *limit) {
             full.insert(group);
         }
     }
@@ -290,8 +303,8 @@
                               const BackendRequirements &request, core::TimePoint now) const
 {
     const auto slots = static_cast<double>(backend.slots);
-    if (isLimitedByPeak(request)) {
-        return std::min(inTimeCapacityOf(backend, load.group, request, now) * maxRankOverGroupMean, slots);
+    if (const auto limit = inTimeCapacityOf(backend, load.group, request.maxEventInterval, now)) {
+        return std::min(*limit * maxRankOverGroupMean, slots);
     }
     if (request.acceptsSaturated) {
         return slots + maxQueuedAtEngine;
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -132,11 +132,11 @@
 
 QueuedRequest ForwardedExchange::queuedRequest() const
 {
-    // Only streams with a target interval have capacity that is kept free of late requests.
-    const bool isLimited = m_resources.admitsInTimeOnly && m_terms.route->targetEventInterval > core::Duration::zero();
+    const bool isLimited = !m_answer.hasBegun()
+        && m_resources.backends.hasInTimeLimit(m_terms.service, m_terms.route->targetEventInterval, now());
     const QueueLevel level{m_terms.service, m_terms.priority};
     const auto waiting = m_resources.waiting.count(level.service, level.priority);
-    return {level, m_limits, m_terms.deadline, m_attemptName, waiting, isLimited && !m_answer.hasBegun()};
+    return {level, m_limits, m_terms.deadline, m_attemptName, waiting, isLimited};
 }
 
 core::TimePoint ForwardedExchange::waitDeadline() const
--- a/packages/forwarding/src/overload.cpp
+++ b/packages/forwarding/src/overload.cpp
@@ -8,12 +8,24 @@
 
 namespace lycheelanding::forwarding {
 
+namespace {
+
+/// Fraction of the arrivals that are sent at least while capacity is insufficient. With fewer it is interrupted, as
+/// while a group stalls or forms anew, and may return at any moment.
+constexpr double minSentFraction = 0.25;
+
+} // namespace
+
 bool isOutOfReach(const QueuedRequest &request, const decisions::admission::QueueForecast &forecast,
                   core::TimePoint now)
 {
     if (!request.isLimited || now < request.limits.lateSince) {
         return false;
     }
+    const auto rates = forecast.rates(request.level, now);
+    if (rates.sentPerSecond < minSentFraction * rates.arrivalsPerSecond) {
+        return false;
+    }
     const auto drainTime = forecast.drainTime(request.level, request.waiting, now);
     return !drainTime || now + *drainTime > request.limits.waitDeadline;
 }
