Admission: silent sides and ranks without stated slots do not fill their group

Without a recent status the mean of a group was the entry's own requests multiplied by the number of entries: with 22 entries one own request made a group with silent sides full, while the limit for such ranks allows two each. A rank that states no slots counted as full, as the limit of its group was zero.

--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -184,6 +184,7 @@
         core::TimePoint since;
     };
 
+    static bool hasRecentStatus(const BackendState &state, core::TimePoint now);
     void updateCandidates();
     void forgetLimits(core::TimePoint now);
     /// Sends nothing to the backend server for the rest of the pause that it has asked for.
@@ -200,7 +201,7 @@
     /// Mean number of requests that the ranks of the group may run within the request's target interval.
     double inTimeCapacityOf(const RegisteredBackend &backend, const core::GroupId &group,
                             const BackendRequirements &request, core::TimePoint now) const;
-    /// Groups of the service whose ranks run as many requests on average as they can in time.
+    /// Groups of the service whose ranks run as many requests on average as they can in time, by recent status updates.
     std::set<core::GroupId> fullGroups(const BackendRequirements &request, core::TimePoint now) const;
     /// The same for requests of this entry at a backend server of whose load nothing is reported.
     double ownCapacityOf(const RegisteredBackend &backend, core::TimePoint now) const;
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -217,6 +217,11 @@
         && now - found->second.addedAt < firstStatusTimeout;
 }
 
+bool BackendSet::hasRecentStatus(const BackendState &state, core::TimePoint now)
+{
+    return state.load && now - state.load->measuredAt < rankStatusTimeout;
+}
+
 core::GroupId BackendSet::groupOf(const BackendId &id) const
 {
     const auto found = m_states.find(id);
@@ -269,23 +274,6 @@
     return std::clamp(limit.value_or(slots * minCapacityFraction), slots * minInTimeCapacityFraction, slots);
 }
 
-std::set<core::GroupId> BackendSet::fullGroups(const BackendRequirements &request, core::TimePoint now) const
-{
-    std::set<core::GroupId> checked;
-    std::set<core::GroupId> full;
-    if (!isLimitedByPeak(request)) {
-        return full;
-    }
-    for (const auto &[id, backend] : m_backends) {
-        const auto group = groupOf(id);
-        const bool isNew = backend.service == request.service && !group.isEmpty() && checked.insert(group).second;
-        if (isNew && meanRunning(group, now) >= inTimeCapacityOf(backend, group, request, now)) {
-            full.insert(group);
-        }
-    }
-    return full;
-}
-
 double BackendSet::capacityOf(const RegisteredBackend &backend, const BackendLoad &load,
                               const BackendRequirements &request, core::TimePoint now) const
 {
@@ -327,8 +315,7 @@
     if (now < state.backoffUntil || isAwaitingStatus(backend, now)) {
         return false;
     }
-    const bool hasStatus = state.load && now - state.load->measuredAt < rankStatusTimeout;
-    if (!hasStatus) {
+    if (!hasRecentStatus(state, now)) {
         const auto own = static_cast<double>(m_selector.inFlightRequests(selectorId(backend.id)));
         return backend.slots == 0 || own < ownCapacityOf(backend, now);
     }
--- a/packages/forwarding/tests/backendcapacitytest.cpp
+++ b/packages/forwarding/tests/backendcapacitytest.cpp
@@ -22,13 +22,13 @@
 /// One of several entries that send to the same engine.
 struct EntryOfSeveral
 {
-    EntryOfSeveral()
+    explicit EntryOfSeveral(std::size_t statedSlots = slots)
     {
         RegisteredBackend backend;
         backend.id = engine;
         backend.service = drafts;
         backend.address = "10.0.0.1:8000";
-        backend.slots = slots;
+        backend.slots = statedSlots;
         backends.apply({decisions::membership::BackendUsable{backend}}, start);
         backends.setPosition({entries, 0}, start);
     }
@@ -103,4 +103,28 @@
     }
 }
 
+// Guards against groups whose sides are silent getting one request at a time: the entry's own requests, multiplied by
+// the number of entries, counted as the load of the group.
+TEST(BackendCapacity, silentSidesLimitOwnRequestsOnlyWhereRequestsInTimeAreAdmitted)
+{
+    for (const bool admitsInTimeOnly : {false, true}) {
+        EntryOfSeveral entry;
+        entry.backends.setAdmitsInTimeOnly(admitsInTimeOnly);
+        entry.backends.setPosition({22, 0}, start);
+        entry.backends.updateBackendLoad(engine, loadOf(3, start), start);
+        EXPECT_TRUE(entry.send(1, start + 1500ms));
+        EXPECT_TRUE(entry.send(2, start + 1500ms));
+        EXPECT_FALSE(entry.send(3, start + 1500ms));
+    }
+}
+
+// Guards against a rank without a stated number of slots getting no stream: the limit of its group was zero.
+TEST(BackendCapacity, rankWithoutStatedSlotsGetsStreamsWhereRequestsInTimeAreAdmitted)
+{
+    EntryOfSeveral entry(0);
+    entry.backends.setAdmitsInTimeOnly(true);
+    entry.backends.updateBackendLoad(engine, loadOf(3, start), start);
+    EXPECT_TRUE(entry.send(1, start + 1ms));
+}
+
 } // namespace lycheelanding::forwarding
