Admission: no forecast refuses requests while nothing has been sent

The forecast took a rate of zero for a queue that grows. While the engines of a service start, or after a pause in its traffic, each request that had to wait was refused once it was late, although nothing was known of the places. Such requests wait until their wait deadline now, as without the forecast.

The test failed before. Overload, WaitingRequests, BackendCapacity, EvacuatedDataCentres, Refusal, PassDurationModel: 34 passed.

--- a/packages/forwarding/src/overload.cpp
+++ b/packages/forwarding/src/overload.cpp
@@ -8,12 +8,23 @@
 
 namespace lycheelanding::forwarding {
 
+namespace {
+
+/// At a lower rate nothing has been sent for some three seconds, or ever, as while engines start: it does not show how
+/// many requests they can take.
+constexpr double minKnownPerSecond = 0.05;
+
+} // namespace
+
 bool isOutOfReach(const QueuedRequest &request, const decisions::admission::QueueForecast &forecast,
                   core::TimePoint now)
 {
     if (!request.isLimited || now < request.limits.lateSince) {
         return false;
     }
+    if (forecast.rates(request.level, now).sentPerSecond < minKnownPerSecond) {
+        return false;
+    }
     const auto drainTime = forecast.drainTime(request.level, request.waiting, now);
     return !drainTime || now + *drainTime > request.limits.waitDeadline;
 }
