--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -36,7 +36,7 @@
 constexpr int maxPassPercent = 92;
 /// The same where only requests in time are admitted: the peak duration covers the causes of longer passes but those
 /// that vary from pass to pass.
-constexpr int maxPeakPassPercent = 88;
+constexpr int maxPeakPassPercent = 95;
 /// Below this fraction of the slots the limit is not applied: so few requests would be in time that late answers to all
 /// serve callers better. A third of the slots finishes less than half of the requests that all slots do.
 constexpr double minInTimeCapacityFraction = 0.35;
@@ -219,6 +219,11 @@
         && now - found->second.addedAt < firstStatusTimeout;
 }
 
+bool BackendSet::hasRecentStatus(const BackendState &state, core::TimePoint now)
+{
+    return state.load && now - state.load->measuredAt < rankStatusTimeout;
+}
+
 core::GroupId BackendSet::groupOf(const BackendId &id) const
 {
     const auto found = m_states.find(id);
@@ -264,7 +269,8 @@
                                                    core::Duration maxEventInterval, core::TimePoint now) const
 {
     const auto passModel = m_passModels.find(group);
-    if (!m_admitsInTimeOnly || maxEventInterval <= core::Duration::zero() || passModel == m_passModels.end()) {
+    if (!m_admitsInTimeOnly || maxEventInterval <= core::Duration::zero() || passModel == m_passModels.end()
+        || backend.slots == 0) {
         return std::nullopt;
     }
     const auto slots = static_cast<double>(backend.slots);
@@ -281,24 +287,6 @@
            });
 }
 
-std::set<core::GroupId> BackendSet::fullGroups(const BackendRequirements &request, core::TimePoint now) const
-{
-    std::set<core::GroupId> checked;
-    std::set<core::GroupId> full;
-    if (!m_admitsInTimeOnly) {
-        return full;
-    }
-    for (const auto &[id, backend] : m_backends) {
-        const auto group = groupOf(id);
-        const bool isNew = backend.service == request.service && !group.isEmpty() && checked.insert(group).second;
-        const auto limit = isNew ? inTimeCapacityOf(backend, group, request.maxEventInterval, now) : std::nullopt;
-        if (limit && meanRunning(group, now) >= *limit) {
-            full.insert(group);
-        }
-    }
-    return full;
-}
-
 double BackendSet::capacityOf(const RegisteredBackend &backend, const BackendLoad &load,
                               const BackendRequirements &request, core::TimePoint now) const
 {
@@ -340,8 +328,7 @@
     if (now < state.backoffUntil || isAwaitingStatus(backend, now)) {
         return false;
     }
-    const bool hasStatus = state.load && now - state.load->measuredAt < rankStatusTimeout;
-    if (!hasStatus) {
+    if (!hasRecentStatus(state, now)) {
         const auto own = static_cast<double>(m_selector.inFlightRequests(selectorId(backend.id)));
         return backend.slots == 0 || own < ownCapacityOf(backend, now);
     }
@@ -365,15 +352,23 @@
     }
     const auto stalled = stalledGroup(request, now);
     const auto full = fullGroups(request, now);
+    bool canAnyAccept = false;
     for (const auto &[id, backend] : m_backends) {
         const bool isStalled = !stalled.isEmpty() && groupOf(id) == stalled;
         const bool isFull = !full.empty() && full.contains(groupOf(id));
         if (backend.service == request.service && (isStalled || isFull || !canAccept(backend, request, now))) {
             route.excluded.push_back(selectorId(id));
-        } else if (m_intake.isCold(id, now)) {
+            continue;
+        }
+        canAnyAccept = canAnyAccept || backend.service == request.service;
+        if (m_intake.isCold(id, now)) {
             route.slow.push_back(selectorId(id));
         }
     }
+    if (!canAnyAccept) {
+        // The first waiting request of a service is tried on each advance, and this is the usual result.
+        return core::Error{core::ErrorKind::NoBackendServer, "no backend server accepts the request"};
+    }
     const auto result = m_selector.choose(route, now);
     if (!core::isOk(result)) {
         return core::Error{core::ErrorKind::NoBackendServer, core::errorOf(result).detail,
