--- a/packages/forwarding/include/lycheelanding/forwarding/requestterms.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestterms.h
@@ -22,9 +22,6 @@
     TokenCounts tokens;
     decisions::quarantine::SharedFeatures features;
     core::TimePoint deadline;
-    /// Time that the caller has spent already, as one does that returns after a refusal: it then has less time left
-    /// than the route allows. Also more than zero for a caller that never waits as long as the route allows.
-    core::Duration elapsed{};
     TimeLimitSource deadlineSource = TimeLimitSource::Route;
     std::uint32_t priority = 0;
 };
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -37,9 +37,9 @@
 /// The same where only requests in time are admitted: the peak duration covers the causes of longer passes but those
 /// that vary from pass to pass.
 constexpr int maxPeakPassPercent = 95;
-/// Below this fraction of the slots the limit is not applied: so few requests would be in time that late answers to all
-/// serve callers better. A third of the slots finishes less than half of the requests that all slots do.
-constexpr double minInTimeCapacityFraction = 0.35;
+/// The limit is not applied if it lets an engine finish less than this part of the requests that it finishes with all
+/// its slots in use: late answers to all then serve callers better than answers in time to a few.
+constexpr double minInTimeThroughput = 0.5;
 /// A rank may run this many times the mean of its group: the passes of a group depend on the sum over its ranks, and
 /// the loads of ranks are only known approximately.
 constexpr double maxRankOverGroupMean = 1.4;
@@ -275,7 +275,9 @@
     }
     const auto slots = static_cast<double>(backend.slots);
     const auto limit = passModel->second.maxRunningAtPeak(percentOf(maxEventInterval, maxPeakPassPercent), now);
-    return limit && *limit >= slots * minInTimeCapacityFraction ? std::optional(std::min(*limit, slots)) : std::nullopt;
+    const bool isWorthwhile = limit && *limit > 0.0
+        && passModel->second.throughput(*limit) >= minInTimeThroughput * passModel->second.throughput(slots);
+    return isWorthwhile ? std::optional(std::min(*limit, slots)) : std::nullopt;
 }
 
 bool BackendSet::hasInTimeLimit(const core::ServiceId &service, core::Duration maxEventInterval,
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -40,10 +40,6 @@
     }
     m_terms = core::takeValue(std::move(terms));
     m_limits = waitLimitsOf(*m_terms.route, m_arrival, m_terms.deadline, m_resources.admitsInTimeOnly);
-    if (m_resources.admitsInTimeOnly) {
-        // A caller that returns has been waiting since its first request.
-        m_limits.lateSince -= m_terms.elapsed;
-    }
     m_resources.queueForecast.requestArrived(m_terms.service, m_terms.priority, m_arrival);
     const bool isResumable = m_terms.route->kind == RouteKind::Stream && m_terms.route->isResumable;
     m_attempts.emplace(RequestTraits{m_terms.route->isIdempotent(), m_terms.deadline, isResumable});
--- a/packages/forwarding/src/requestterms.cpp
+++ b/packages/forwarding/src/requestterms.cpp
@@ -71,7 +71,6 @@
         if (callerDeadline < terms.deadline) {
             terms.deadline = callerDeadline;
             terms.deadlineSource = TimeLimitSource::Caller;
-            terms.elapsed = std::max<core::Duration>(terms.route->timeout - *timeLeft, core::Duration::zero());
         }
     }
     terms.priority = routes->priorityFor(*terms.route, terms.organisation);
