--- a/packages/decisions/src/admission/queueforecast.cpp
+++ b/packages/decisions/src/admission/queueforecast.cpp
@@ -13,6 +13,8 @@
 /// Time constant of the rates: an entry with ten requests per second has seen enough of them after this time, and a
 /// surge lasts for several seconds.
 constexpr Seconds averagingTime{1.0};
+/// More can be sent than arrives at an entry in balance: the rate of sent requests follows the arrivals there.
+constexpr double headroom = 1.1;
 /// Longer forecasts are useless, as the rates change before.
 constexpr Seconds maxForecast{60.0};
 /// Callers are told to return no earlier: the queue that they were refused for is still there.
@@ -68,7 +70,7 @@
         return core::Duration::zero();
     }
     const auto current = rates(level, now);
-    const double surplus = current.sentPerSecond - current.arrivalsPerSecond;
+    const double surplus = headroom * current.sentPerSecond - current.arrivalsPerSecond;
     if (surplus <= static_cast<double>(waiting) / maxForecast.count()) {
         return std::nullopt;
     }
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -34,10 +34,12 @@
 /// Maximum pass duration in percent of the maximum event interval: the rest covers requests that other entries send at
 /// the same time, prefill, and the transmission of the event.
 constexpr int maxPassPercent = 92;
-/// The same two values where only requests in time are admitted. The peak duration covers what makes passes longer, so
-/// that less of the interval is kept free; a group with an uneven map may need few requests to be in time.
-constexpr int maxPeakPassPercent = 97;
-constexpr double minInTimeCapacityFraction = 0.3;
+/// The same where only requests in time are admitted: the peak duration covers the causes of longer passes but those
+/// that vary from pass to pass.
+constexpr int maxPeakPassPercent = 95;
+/// The limit is not applied if it lets an engine finish less than this part of the requests that it finishes with all
+/// its slots in use: late answers to all then serve callers better than answers in time to a few.
+constexpr double minInTimeThroughput = 0.5;
 /// A rank may run this many times the mean of its group: the passes of a group depend on the sum over its ranks, and
 /// the loads of ranks are only known approximately.
 constexpr double maxRankOverGroupMean = 1.4;
@@ -217,6 +219,11 @@
         && now - found->second.addedAt < firstStatusTimeout;
 }
 
+bool BackendSet::hasRecentStatus(const BackendState &state, core::TimePoint now)
+{
+    return state.load && now - state.load->measuredAt < rankStatusTimeout;
+}
+
 core::GroupId BackendSet::groupOf(const BackendId &id) const
 {
     const auto found = m_states.find(id);
@@ -258,40 +265,36 @@
     return ranks > 0 ? sum / ranks : 0.0;
 }
 
-double BackendSet::inTimeCapacityOf(const RegisteredBackend &backend, const core::GroupId &group,
-                                    const BackendRequirements &request, core::TimePoint now) const
+std::optional<double> BackendSet::inTimeCapacityOf(const RegisteredBackend &backend, const core::GroupId &group,
+                                                   core::Duration maxEventInterval, core::TimePoint now) const
 {
-    const auto slots = static_cast<double>(backend.slots);
     const auto passModel = m_passModels.find(group);
-    const auto limit = passModel != m_passModels.end()
-        ? passModel->second.maxRunningAtPeak(percentOf(request.maxEventInterval, maxPeakPassPercent), now)
-        : std::nullopt;
-    return std::clamp(limit.value_or(slots * minCapacityFraction), slots * minInTimeCapacityFraction, slots);
+    if (!m_admitsInTimeOnly || maxEventInterval <= core::Duration::zero() || passModel == m_passModels.end()
+        || backend.slots == 0) {
+        return std::nullopt;
+    }
+    const auto slots = static_cast<double>(backend.slots);
+    const auto limit = passModel->second.maxRunningAtPeak(percentOf(maxEventInterval, maxPeakPassPercent), now);
+    const bool isWorthwhile = limit && *limit > 0.0
+        && passModel->second.throughput(*limit) >= minInTimeThroughput * passModel->second.throughput(slots);
+    return isWorthwhile ? std::optional(std::min(*limit, slots)) : std::nullopt;
 }
 
-std::set<core::GroupId> BackendSet::fullGroups(const BackendRequirements &request, core::TimePoint now) const
+bool BackendSet::hasInTimeLimit(const core::ServiceId &service, core::Duration maxEventInterval,
+                                core::TimePoint now) const
 {
-    std::set<core::GroupId> checked;
-    std::set<core::GroupId> full;
-    if (!isLimitedByPeak(request)) {
-        return full;
-    }
-    for (const auto &[id, backend] : m_backends) {
-        const auto group = groupOf(id);
-        const bool isNew = backend.service == request.service && !group.isEmpty() && checked.insert(group).second;
-        if (isNew && meanRunning(group, now) >= inTimeCapacityOf(backend, group, request, now)) {
-            full.insert(group);
-        }
-    }
-    return full;
+    return m_admitsInTimeOnly && std::any_of(m_backends.begin(), m_backends.end(), [&](const auto &item) {
+               return item.second.service == service
+                   && inTimeCapacityOf(item.second, groupOf(item.first), maxEventInterval, now);
+           });
 }
 
 double BackendSet::capacityOf(const RegisteredBackend &backend, const BackendLoad &load,
                               const BackendRequirements &request, core::TimePoint now) const
 {
     const auto slots = static_cast<double>(backend.slots);
-    if (isLimitedByPeak(request)) {
-        return std::min(inTimeCapacityOf(backend, load.group, request, now) * maxRankOverGroupMean, slots);
+    if (const auto limit = inTimeCapacityOf(backend, load.group, request.maxEventInterval, now)) {
+        return std::min(*limit * maxRankOverGroupMean, slots);
     }
     if (request.acceptsSaturated) {
         return slots + maxQueuedAtEngine;
@@ -327,8 +330,7 @@
     if (now < state.backoffUntil || isAwaitingStatus(backend, now)) {
         return false;
     }
-    const bool hasStatus = state.load && now - state.load->measuredAt < rankStatusTimeout;
-    if (!hasStatus) {
+    if (!hasRecentStatus(state, now)) {
         const auto own = static_cast<double>(m_selector.inFlightRequests(selectorId(backend.id)));
         return backend.slots == 0 || own < ownCapacityOf(backend, now);
     }
@@ -352,15 +354,23 @@
     }
     const auto stalled = stalledGroup(request, now);
     const auto full = fullGroups(request, now);
+    bool canAnyAccept = false;
     for (const auto &[id, backend] : m_backends) {
         const bool isStalled = !stalled.isEmpty() && groupOf(id) == stalled;
         const bool isFull = !full.empty() && full.contains(groupOf(id));
         if (backend.service == request.service && (isStalled || isFull || !canAccept(backend, request, now))) {
             route.excluded.push_back(selectorId(id));
-        } else if (m_intake.isCold(id, now)) {
+            continue;
+        }
+        canAnyAccept = canAnyAccept || backend.service == request.service;
+        if (m_intake.isCold(id, now)) {
             route.slow.push_back(selectorId(id));
         }
     }
+    if (!canAnyAccept) {
+        // The first waiting request of a service is tried on each advance, and this is the usual result.
+        return core::Error{core::ErrorKind::NoBackendServer, "no backend server accepts the request"};
+    }
     const auto result = m_selector.choose(route, now);
     if (!core::isOk(result)) {
         return core::Error{core::ErrorKind::NoBackendServer, core::errorOf(result).detail,
