Memory account: no search for holders to close while the shares have room

Each part of an answer that is written made a sorted list of all closable holders. The result is the same: it was empty in this case. http-tests and the account's tests passed.

--- a/packages/decisions/src/admission/memoryaccount.cpp
+++ b/packages/decisions/src/admission/memoryaccount.cpp
@@ -131,6 +131,12 @@
     // What is drawn beyond the shares is in the process already: to wait would exhaust the memory.
     const bool closesActive = bytes == 0;
     const bool mayDrawSmall = !closesActive && isSmall(heldBytes + bytes);
+    const bool fitsAlready = m_largeHeld + bytes <= m_settings.shares.largeBytes
+        || (mayDrawSmall && m_smallHeld + bytes <= m_settings.shares.smallBytes);
+    if (fitsAlready) {
+        // The usual case: this is called for each part of an answer.
+        return {};
+    }
     std::size_t freedSmall = 0;
     std::size_t freedLarge = 0;
     std::vector<std::pair<double, MemoryHolder>> candidates;
