--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -196,7 +196,7 @@
     double capacityOf(const RegisteredBackend &backend, const BackendLoad &load, const BackendRequirements &request,
                       core::TimePoint now) const;
     /// Mean number of requests that the ranks of the group may run within the target interval, also during peaks of the
-    /// pass duration; nullopt if there is no target, or too few of them can be in time.
+    /// pass duration, and at least half of the slots; nullopt if there is no target or no recent event.
     std::optional<double> inTimeCapacityOf(const RegisteredBackend &backend, const core::GroupId &group,
                                            core::Duration maxEventInterval, core::TimePoint now) const;
     /// Groups of the service whose ranks run as many requests on average as they can in time, by recent status updates.
--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -36,10 +36,9 @@
 constexpr int maxPassPercent = 92;
 /// The same where only requests in time are admitted: the peak duration covers the causes of longer passes but those
 /// that vary from pass to pass.
-constexpr int maxPeakPassPercent = 95;
-/// The limit is not applied if it lets an engine finish less than this part of the requests that it finishes with all
-/// its slots in use: late answers to all then serve callers better than answers in time to a few.
-constexpr double minInTimeThroughput = 0.5;
+constexpr int maxPeakPassPercent = 97;
+/// Fraction of the slots that is used whatever the peak: with less, more requests are refused than answered late.
+constexpr double minInTimeCapacityFraction = 0.5;
 /// A rank may run this many times the mean of its group: the passes of a group depend on the sum over its ranks, and
 /// the loads of ranks are only known approximately.
 constexpr double maxRankOverGroupMean = 1.4;
@@ -275,9 +274,7 @@
     }
     const auto slots = static_cast<double>(backend.slots);
     const auto limit = passModel->second.maxRunningAtPeak(percentOf(maxEventInterval, maxPeakPassPercent), now);
-    const bool isWorthwhile = limit && *limit > 0.0
-        && passModel->second.throughput(*limit) >= minInTimeThroughput * passModel->second.throughput(slots);
-    return isWorthwhile ? std::optional(std::min(*limit, slots)) : std::nullopt;
+    return limit ? std::optional(std::clamp(*limit, slots * minInTimeCapacityFraction, slots)) : std::nullopt;
 }
 
 bool BackendSet::hasInTimeLimit(const core::ServiceId &service, core::Duration maxEventInterval,
