lycheectl: each entry is tried once before a patch is given up

Found by reading: this is the only path to that outcome. Measured: the new test with a timeout of 0 failed before and passes; control-tests passed.

--- a/packages/control/src/patchsubmitter.cpp
+++ b/packages/control/src/patchsubmitter.cpp
@@ -66,7 +66,9 @@
             return outcome;
         }
         mayHaveBeenAccepted = mayHaveBeenAccepted || core::answerOf(kind).ran != core::Ran::No;
-        if (std::chrono::steady_clock::now() + delay >= end) {
+        // Each entry is tried once, however long the earlier ones took to fail.
+        const bool hasTriedAll = attempt + 1 >= m_client.entries().size();
+        if (hasTriedAll && std::chrono::steady_clock::now() + delay >= end) {
             // An earlier attempt may have been accepted even if the last one has reached no entry.
             outcome.refusal.error.kind = mayHaveBeenAccepted ? core::ErrorKind::PatchUndecided : kind;
             return outcome;
--- a/packages/control/tests/controltooltest.cpp
+++ b/packages/control/tests/controltooltest.cpp
@@ -232,6 +232,19 @@
     }
 }
 
+// Guards against giving up before each entry was tried: an entry that takes the whole time to fail hid the others.
+TEST(ControlToolTest, eachEntryIsTriedOnceWhateverTheTimeout)
+{
+    using namespace std::chrono_literals;
+    FakeEntry entry;
+    const std::vector<std::string> arguments{"config",     "patch", "--expect", "7",       "--patch",        "[]",
+                                             "--patch-id", "id1",   "--json",   "--entry", unreachableUrl(), "--entry",
+                                             entry.url()};
+    const auto result = runTool(arguments, {.timeout = 0ms, .initialDelay = 10ms, .maxDelay = 20ms});
+    EXPECT_EQ(result.code, ExitCode::Ok) << result.message;
+    EXPECT_EQ(entry.applied(), 1);
+}
+
 TEST(ControlToolTest, conflictReportsTheCurrentVersionAndTheNextStep)
 {
     FakeEntry entry;
