--- a/packages/decisions/src/intake/backendintake.cpp
+++ b/packages/decisions/src/intake/backendintake.cpp
@@ -22,7 +22,7 @@
 /// The bound of cold backend servers counts the requests of one second, and of the time above.
 constexpr std::chrono::milliseconds coldCountedTime{1100};
 /// The bound may leave less than one request in reserve; the rate is lowered by what is missing, but not to zero.
-constexpr double minColdPerSecond = 0.1;
+constexpr double minColdRate = 0.1;
 /// How long an entry without turns relies on the others to report the end of a limit, and the interval at which these
 /// entries find out for themselves, one after the other.
 constexpr std::chrono::seconds minProbeDelay{30};
@@ -118,7 +118,7 @@
     }
     const double bound = cold.rate.perSecond * cold.rate.overage + cold.rate.slack;
     const double largest = (bound - 1.0) / (1.0 + inFlightSeconds);
-    shared.perSecond = std::max(std::min(cold.rate.perSecond, largest), minColdPerSecond);
+    shared.perSecond = std::max(std::min(cold.rate.perSecond, largest), minColdRate);
     const double inReserve = bound - shared.perSecond * (1.0 + inFlightSeconds);
     // Each entry may have one turn in reserve; what is left after these is divided like the rate.
     const double spare = std::max(inReserve - static_cast<double>(shared.position.entries), 0.0);
