--- a/packages/forwarding/src/backendset.cpp
+++ b/packages/forwarding/src/backendset.cpp
@@ -34,11 +34,6 @@
 /// Maximum pass duration in percent of the maximum event interval: the rest covers requests that other entries send at
 /// the same time, prefill, and the transmission of the event.
 constexpr int maxPassPercent = 92;
-/// The same where only requests in time are admitted: the peak duration covers the causes of longer passes but those
-/// that vary from pass to pass.
-constexpr int maxPeakPassPercent = 97;
-/// Fraction of the slots that is used whatever the peak: with less, more requests are refused than answered late.
-constexpr double minInTimeCapacityFraction = 0.5;
 /// A rank may run this many times the mean of its group: the passes of a group depend on the sum over its ranks, and
 /// the loads of ranks are only known approximately.
 constexpr double maxRankOverGroupMean = 1.4;
@@ -264,28 +259,6 @@
     return ranks > 0 ? sum / ranks : 0.0;
 }
 
-std::optional<double> BackendSet::inTimeCapacityOf(const RegisteredBackend &backend, const core::GroupId &group,
-                                                   core::Duration maxEventInterval, core::TimePoint now) const
-{
-    const auto passModel = m_passModels.find(group);
-    if (!m_admitsInTimeOnly || maxEventInterval <= core::Duration::zero() || passModel == m_passModels.end()
-        || backend.slots == 0) {
-        return std::nullopt;
-    }
-    const auto slots = static_cast<double>(backend.slots);
-    const auto limit = passModel->second.maxRunningAtPeak(percentOf(maxEventInterval, maxPeakPassPercent), now);
-    return limit ? std::optional(std::clamp(*limit, slots * minInTimeCapacityFraction, slots)) : std::nullopt;
-}
-
-bool BackendSet::hasInTimeLimit(const core::ServiceId &service, core::Duration maxEventInterval,
-                                core::TimePoint now) const
-{
-    return m_admitsInTimeOnly && std::any_of(m_backends.begin(), m_backends.end(), [&](const auto &item) {
-               return item.second.service == service
-                   && inTimeCapacityOf(item.second, groupOf(item.first), maxEventInterval, now);
-           });
-}
-
 double BackendSet::capacityOf(const RegisteredBackend &backend, const BackendLoad &load,
                               const BackendRequirements &request, core::TimePoint now) const
 {
--- a/packages/forwarding/src/backendsetadmission.cpp
+++ b/packages/forwarding/src/backendsetadmission.cpp
@@ -1,11 +1,19 @@
 #include "lycheelanding/forwarding/backendset.h"
+#include "lycheelanding/forwarding/percent.h"
 
+#include <algorithm>
 #include <cstddef>
 
 namespace lycheelanding::forwarding {
 
 namespace {
 
+/// Maximum pass duration in percent of the maximum event interval where only requests in time are admitted: the peak
+/// duration covers the causes of longer passes but those that vary from pass to pass.
+constexpr int maxPeakPassPercent = 97;
+/// Fraction of the slots that is used whatever the peak: with less, more requests are refused than answered late.
+constexpr double minInTimeCapacityFraction = 0.5;
+
 struct GroupLoad
 {
     double running = 0.0;
@@ -15,6 +23,28 @@
 
 } // namespace
 
+std::optional<double> BackendSet::inTimeCapacityOf(const RegisteredBackend &backend, const core::GroupId &group,
+                                                   core::Duration maxEventInterval, core::TimePoint now) const
+{
+    const auto passModel = m_passModels.find(group);
+    if (!m_admitsInTimeOnly || maxEventInterval <= core::Duration::zero() || passModel == m_passModels.end()
+        || backend.slots == 0) {
+        return std::nullopt;
+    }
+    const auto slots = static_cast<double>(backend.slots);
+    const auto limit = passModel->second.maxRunningAtPeak(percentOf(maxEventInterval, maxPeakPassPercent), now);
+    return limit ? std::optional(std::clamp(*limit, slots * minInTimeCapacityFraction, slots)) : std::nullopt;
+}
+
+bool BackendSet::hasInTimeLimit(const core::ServiceId &service, core::Duration maxEventInterval,
+                                core::TimePoint now) const
+{
+    return m_admitsInTimeOnly && std::any_of(m_backends.begin(), m_backends.end(), [&](const auto &item) {
+               return item.second.service == service
+                   && inTimeCapacityOf(item.second, groupOf(item.first), maxEventInterval, now);
+           });
+}
+
 std::set<core::GroupId> BackendSet::fullGroups(const BackendRequirements &request, core::TimePoint now) const
 {
     std::set<core::GroupId> full;
