--- a/packages/control/tests/controltooltest.cpp
+++ b/packages/control/tests/controltooltest.cpp
@@ -232,7 +232,7 @@
     }
 }
 
-// Guards against giving up before each entry was tried: an entry that takes the whole time to fail hid the others.
+// Guards against giving up before each entry was tried: the first one may take the whole timeout to fail.
 TEST(ControlToolTest, eachEntryIsTriedOnceWhateverTheTimeout)
 {
     using namespace std::chrono_literals;
--- a/packages/decisions/include/lycheelanding/decisions/admission/memoryaccount.h
+++ b/packages/decisions/include/lycheelanding/decisions/admission/memoryaccount.h
@@ -14,7 +14,7 @@
 {
     /// For requests of up to `smallRequestBytes`, so that large bodies cannot occupy everything.
     std::size_t smallBytes = 0;
-    /// For large bodies, and for answers that wait for slow readers.
+    /// For large bodies, and for answers that are buffered for slow readers.
     std::size_t largeBytes = 0;
     /// For received bytes that the kernel holds because the process has no memory to read them.
     std::size_t unreadBytes = 0;
--- a/packages/decisions/include/lycheelanding/decisions/admission/queueforecast.h
+++ b/packages/decisions/include/lycheelanding/decisions/admission/queueforecast.h
@@ -10,10 +10,10 @@
 
 namespace lycheelanding::decisions::admission {
 
-/// What a forecast is based on, for the log.
+/// Inputs of a forecast, for the log.
 struct QueueRates
 {
-    /// Requests of a priority and of more urgent ones.
+    /// Arrivals of the level's priority and of more urgent ones.
     double arrivalsPerSecond = 0.0;
     /// Requests of any priority that have got a place at a backend server.
     double sentPerSecond = 0.0;
--- a/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/backendintake.h
@@ -140,7 +140,7 @@
     core::RandomSequence m_random;
     EntryPosition m_position;
     bool m_isPositionKnown = false;
-    /// Stands for this entry's position until it is known.
+    /// Seed of the position that is assumed until the real one is known.
     std::uint64_t m_unknownPosition = 0;
     DemandShares m_demand;
     core::TimePoint m_nextUpdate;
--- a/packages/decisions/include/lycheelanding/decisions/intake/coldbackends.h
+++ b/packages/decisions/include/lycheelanding/decisions/intake/coldbackends.h
@@ -137,8 +137,8 @@
     std::size_t m_coldCount = 0;
 };
 
-/// The remaining time that a text or a registration states in ms; nullopt if it is negative, no number, or longer than
-/// any backend server is cold.
+/// The remaining time that a text or a registration states in ms; nullopt if it is negative, no number, or over the
+/// maximum cold time.
 std::optional<core::Duration> coldTimeFrom(double milliseconds);
 
 } // namespace lycheelanding::decisions::intake
--- a/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
+++ b/packages/decisions/include/lycheelanding/decisions/routing/backendselector.h
@@ -126,7 +126,7 @@
         /// Requests of this entry at the backend server when this one was sent, itself included.
         std::size_t inProgress = 0;
         bool isEstimated = false;
-        /// Set while the response time is still to come.
+        /// Set until the response time is known.
         std::optional<core::TimePoint> writtenAt;
     };
 
--- a/packages/forwarding/tests/coldbackendstest.cpp
+++ b/packages/forwarding/tests/coldbackendstest.cpp
@@ -108,7 +108,7 @@
         return largest;
     }
 
-    /// Requests per second of the cold time that each cold backend server got on average.
+    /// Mean requests per second at each backend server while it was cold.
     double coldRate() const
     {
         std::size_t sum = 0;
--- a/tests/hostilecallers/hostilecallerstest.cpp
+++ b/tests/hostilecallers/hostilecallerstest.cpp
@@ -137,7 +137,7 @@
     EXPECT_EQ(entry.mediumAnswer(), PlatformEntry::mediumAnswerBytes);
 }
 
-// Probes that leave their connections open occupied all those of the readiness port, and further ones were reset.
+// Guards against readiness probes that are reset because earlier probes have left their connections open.
 TEST(HostileCallers, readinessIsAnsweredDespiteIdleConnections)
 {
     const PlatformEntry entry;
