--- a/packages/forwarding/include/lycheelanding/forwarding/backendset.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendset.h
@@ -104,9 +104,10 @@
     {
         return m_isAdaptive && !m_models.contains(backend.service);
     }
-    /// Sends to engines only what can be served within the streams' target interval, also during the next peak of their
-    /// pass duration; requests beyond that wait or are refused.
-    void setAdmitsInTimeOnly(bool admitsInTimeOnly) { m_admitsInTimeOnly = admitsInTimeOnly; }
+    /// Services whose engines get only what can be served within the streams' target interval, also during the next
+    /// peak of their pass duration; requests beyond that wait or are refused.
+    void setInTimeServices(std::set<core::ServiceId> services) { m_inTimeServices = std::move(services); }
+    bool admitsInTimeOnly(const core::ServiceId &service) const { return m_inTimeServices.contains(service); }
     /// Whether this limits the requests to a rank group of the service now.
     bool hasInTimeLimit(const core::ServiceId &service, core::Duration maxEventInterval, core::TimePoint now) const;
     /// Whether the first status update of a backend server of such a service is still awaited.
@@ -213,7 +214,7 @@
     const core::DataCentreId m_localDataCentre;
     std::size_t m_entries = 1;
     bool m_isAdaptive = false;
-    bool m_admitsInTimeOnly = false;
+    std::set<core::ServiceId> m_inTimeServices;
     std::map<BackendId, RegisteredBackend> m_backends;
     std::set<core::DataCentreId> m_evacuated;
     std::map<BackendId, asio::ip::tcp::endpoint> m_endpoints;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardingresources.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardingresources.h
@@ -39,8 +39,6 @@
     /// Called when a backend server has said in an answer that it leaves.
     const std::function<void(const BackendId &)> &onLeaving;
     decisions::admission::QueueForecast &queueForecast;
-    /// Whether a request that has become late is refused while the queue of its service grows.
-    bool admitsInTimeOnly = false;
     /// Requests with a stream that another backend server can resume.
     std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> &resumableStreams;
 };
--- a/packages/forwarding/include/lycheelanding/forwarding/routetable.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/routetable.h
@@ -4,6 +4,7 @@
 #include "lycheelanding/forwarding/forwardingconfiguration.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -28,6 +29,9 @@
     /// Selects a service of the route by the weights; `number` is uniformly distributed over its type.
     const core::ServiceId &serviceFor(const Route &route, std::uint64_t number) const;
     const Service *service(const core::ServiceId &id) const;
+    /// Services with stream routes of different priorities and with a target for the interval between events. Operators
+    /// rank the routes of a service because it may be unable to serve all of them in time.
+    std::set<core::ServiceId> servicesWithRankedStreams() const;
 
 private:
     ForwardingConfiguration m_configuration;
--- a/packages/forwarding/include/lycheelanding/forwarding/waitingrequests.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/waitingrequests.h
@@ -59,8 +59,8 @@
         m_queues[{request->service(), request->priority()}].push_back(std::move(request));
     }
 
-    /// Guarantees each priority a small part of the places that the queue of its service gets.
-    void setGuaranteesShares(bool guaranteesShares) { m_guaranteesShares = guaranteesShares; }
+    /// Services whose queues guarantee each priority a small part of the places.
+    void setGuaranteedServices(std::set<core::ServiceId> services) { m_guaranteedServices = std::move(services); }
 
     /// Whether a request of the service is waiting that is not late and has this or a more urgent priority.
     bool hasWaiting(const core::ServiceId &service, std::uint32_t priority, core::TimePoint now) const
@@ -86,9 +86,7 @@
             return;
         }
         std::set<core::ServiceId> saturatedServices;
-        if (m_guaranteesShares) {
-            sendGuaranteedShares(now);
-        }
+        sendGuaranteedShares(now);
         for (auto &[key, queue] : m_queues) {
             removeFinished(queue, now);
             if (!saturatedServices.contains(key.first) && !sendAll(key.first, queue, now)) {
@@ -160,12 +158,13 @@
         return hasCapacity;
     }
 
-    /// Sends one request of a less urgent queue for each service whose more urgent ones have had their places.
+    /// Sends one request of a less urgent queue for each guaranteed service whose more urgent ones have had their
+    /// places.
     void sendGuaranteedShares(core::TimePoint now)
     {
         std::erase_if(m_sentByService, [this](const auto &item) { return this->count(item.first) == 0; });
         for (auto &[service, sent] : m_sentByService) {
-            if (sent < guaranteedShare) {
+            if (sent < guaranteedShare || !m_guaranteedServices.contains(service)) {
                 continue;
             }
             const auto isOfService
@@ -207,7 +206,7 @@
     }
 
     std::map<std::pair<core::ServiceId, std::uint32_t>, Queue> m_queues;
-    bool m_guaranteesShares = false;
+    std::set<core::ServiceId> m_guaranteedServices;
     /// Requests sent from the queues of a service since a less urgent one was preferred.
     std::map<core::ServiceId, std::size_t> m_sentByService;
     /// Priority of the queue that was preferred last.
--- a/packages/forwarding/src/backendsetadmission.cpp
+++ b/packages/forwarding/src/backendsetadmission.cpp
@@ -27,8 +27,8 @@
                                                    core::Duration maxEventInterval, core::TimePoint now) const
 {
     const auto passModel = m_passModels.find(group);
-    if (!m_admitsInTimeOnly || maxEventInterval <= core::Duration::zero() || passModel == m_passModels.end()
-        || backend.slots == 0) {
+    if (!admitsInTimeOnly(backend.service) || maxEventInterval <= core::Duration::zero()
+        || passModel == m_passModels.end() || backend.slots == 0) {
         return std::nullopt;
     }
     const auto slots = static_cast<double>(backend.slots);
@@ -39,7 +39,7 @@
 bool BackendSet::hasInTimeLimit(const core::ServiceId &service, core::Duration maxEventInterval,
                                 core::TimePoint now) const
 {
-    return m_admitsInTimeOnly && std::any_of(m_backends.begin(), m_backends.end(), [&](const auto &item) {
+    return admitsInTimeOnly(service) && std::any_of(m_backends.begin(), m_backends.end(), [&](const auto &item) {
                return item.second.service == service
                    && inTimeCapacityOf(item.second, groupOf(item.first), maxEventInterval, now);
            });
@@ -48,7 +48,7 @@
 std::set<core::GroupId> BackendSet::fullGroups(const BackendRequirements &request, core::TimePoint now) const
 {
     std::set<core::GroupId> full;
-    if (!m_admitsInTimeOnly) {
+    if (!admitsInTimeOnly(request.service)) {
         return full;
     }
     std::map<core::GroupId, GroupLoad> loads;
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -62,8 +62,6 @@
     if (m_settings.adaptiveCapacity) {
         m_backends.enableAdaptiveCapacity();
     }
-    m_backends.setAdmitsInTimeOnly(m_settings.admitsInTimeOnly);
-    m_waiting.setGuaranteesShares(m_settings.admitsInTimeOnly);
 }
 
 EntryServer::~EntryServer() = default;
@@ -92,6 +90,10 @@
         }
     }
     m_backends.setModels(std::move(models));
+    auto inTimeServices = m_routes->servicesWithRankedStreams();
+    const auto inTimeCount = static_cast<std::int64_t>(inTimeServices.size());
+    m_waiting.setGuaranteedServices(inTimeServices);
+    m_backends.setInTimeServices(std::move(inTimeServices));
     m_intakeTracker.cold().configure(m_routes->configuration().services, m_clock.now());
     if (m_hasBackendList) {
         forwardEarlyRequests();
@@ -100,7 +102,8 @@
     m_metrics.set(report::Gauge::ConfigurationVersion, version.number());
     m_log.write(LogImportance::State, "configurationInstalled",
                 {{"configuration", static_cast<std::int64_t>(version.number())},
-                 {"routes", static_cast<std::int64_t>(m_routes->configuration().routes.size())}});
+                 {"routes", static_cast<std::int64_t>(m_routes->configuration().routes.size())},
+                 {"inTimeServices", inTimeCount}});
 }
 
 void EntryServer::applyBackendChanges(const decisions::membership::DirectoryChanges &changes)
@@ -200,21 +203,10 @@
 
 void EntryServer::forward(const http::HttpExchangePointer &exchange)
 {
-    const ForwardingResources resources{m_context,
-                                        m_settings.names,
-                                        m_backends,
-                                        m_retries,
-                                        m_pool,
-                                        m_log,
-                                        m_metrics,
-                                        m_waiting,
-                                        m_lastAttempt,
-                                        m_requestGuard,
-                                        m_intakeTracker,
-                                        m_backendLeaves,
-                                        m_queueForecast,
-                                        m_settings.admitsInTimeOnly,
-                                        m_resumableStreams};
+    const ForwardingResources resources{
+        m_context,       m_settings.names, m_backends,      m_retries,         m_pool,
+        m_log,           m_metrics,        m_waiting,       m_lastAttempt,     m_requestGuard,
+        m_intakeTracker, m_backendLeaves,  m_queueForecast, m_resumableStreams};
     const auto onFinished = [this] {
         execute(m_drain.requestFinished(m_clock.now()));
         sendWaitingRequests();
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -39,7 +39,8 @@
         return;
     }
     m_terms = core::takeValue(std::move(terms));
-    m_limits = waitLimitsOf(*m_terms.route, m_arrival, m_terms.deadline, m_resources.admitsInTimeOnly);
+    m_limits = waitLimitsOf(*m_terms.route, m_arrival, m_terms.deadline,
+                            m_resources.backends.admitsInTimeOnly(m_terms.service));
     m_resources.queueForecast.requestArrived(m_terms.service, m_terms.priority, m_arrival);
     const bool isResumable = m_terms.route->kind == RouteKind::Stream && m_terms.route->isResumable;
     m_attempts.emplace(RequestTraits{m_terms.route->isIdempotent(), m_terms.deadline, isResumable});
--- a/packages/forwarding/src/routetable.cpp
+++ b/packages/forwarding/src/routetable.cpp
@@ -1,6 +1,7 @@
 #include "lycheelanding/forwarding/routetable.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace lycheelanding::forwarding {
@@ -89,4 +90,22 @@
     return found == m_services.end() ? nullptr : &m_configuration.services[found->second];
 }
 
+std::set<core::ServiceId> RouteTable::servicesWithRankedStreams() const
+{
+    std::map<core::ServiceId, std::uint32_t> firstPriorities;
+    std::set<core::ServiceId> ranked;
+    for (const auto &route : m_configuration.routes) {
+        if (route.kind != RouteKind::Stream || route.targetEventInterval <= std::chrono::milliseconds::zero()) {
+            continue;
+        }
+        for (const auto &weighted : route.services) {
+            const auto first = firstPriorities.try_emplace(weighted.service, route.priority).first;
+            if (first->second != route.priority) {
+                ranked.insert(weighted.service);
+            }
+        }
+    }
+    return ranked;
+}
+
 } // namespace lycheelanding::forwarding
--- a/packages/forwarding/tests/backendcapacitytest.cpp
+++ b/packages/forwarding/tests/backendcapacitytest.cpp
@@ -109,7 +109,7 @@
 {
     for (const bool admitsInTimeOnly : {false, true}) {
         EntryOfSeveral entry;
-        entry.backends.setAdmitsInTimeOnly(admitsInTimeOnly);
+        entry.backends.setInTimeServices(admitsInTimeOnly ? std::set{drafts} : std::set<core::ServiceId>());
         entry.backends.setPosition({22, 0}, start);
         entry.backends.updateBackendLoad(engine, loadOf(3, start), start);
         EXPECT_TRUE(entry.send(1, start + 1500ms));
@@ -122,7 +122,7 @@
 TEST(BackendCapacity, rankWithoutStatedSlotsGetsStreamsWhereRequestsInTimeAreAdmitted)
 {
     EntryOfSeveral entry(0);
-    entry.backends.setAdmitsInTimeOnly(true);
+    entry.backends.setInTimeServices({drafts});
     entry.backends.updateBackendLoad(engine, loadOf(3, start), start);
     EXPECT_TRUE(entry.send(1, start + 1ms));
 }
--- a/packages/forwarding/tests/intimeadmissiontest.cpp
+++ b/packages/forwarding/tests/intimeadmissiontest.cpp
@@ -25,7 +25,7 @@
         ModelShape shape;
         shape.steps = steps;
         backends.setModels({{drafts, shape}});
-        backends.setAdmitsInTimeOnly(true);
+        backends.setInTimeServices({drafts});
         decisions::membership::DirectoryChanges changes;
         for (int rank = 0; rank < ranks; ++rank) {
             RegisteredBackend backend;
--- a/packages/forwarding/tests/waitingrequeststest.cpp
+++ b/packages/forwarding/tests/waitingrequeststest.cpp
@@ -137,7 +137,7 @@
 TEST(WaitingRequests, lessUrgentRequestsGetTheirGuaranteedShare)
 {
     Queues queues;
-    queues.waiting.setGuaranteesShares(true);
+    queues.waiting.setGuaranteedServices({drafts});
     for (int number = 0; number < 40; ++number) {
         queues.add("urgent", 0);
     }
