--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -24,6 +24,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <sstream>
