Review: what the cases share is in one place

Settings of an entry, the planned stop, the main function and the script around a case stood two or three times.

--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -131,21 +131,6 @@
         .dump();
 }
 
-std::string settings(int front, int readiness, int internal, int store)
-{
-    const std::string ip = entryIp + ":";
-    return "NodeName=front-kolkata-a-1\nRole=entry\nMachineClass=front\nServes=front\nIp=" + entryIp
-        + "\nZone=kolkata-a\nRegion=bengal\nListen.Front=" + ip + std::to_string(front) + "\nListen.Readiness=" + ip
-        + std::to_string(readiness) + "\nInternalPorts=" + std::to_string(internal) + "," + std::to_string(internal + 9)
-        + "\nLimits.CpuShare=0.19\nLimits.Cores=1\nLimits.MemoryMb=260\nLimits.MaxFds=4100\nLimits.LinkMbps=1000.0"
-          "\nDiscovery=platform\nHeartbeatMs=1200"
-          "\nContracts=base,drain,config,cost,retry,recover,engine,stream,tenants,platform,experts"
-          "\nBounds.StableWindowMs=3000\nBounds.DrainMs=2000\nBounds.GraceS=8\nBounds.LossSlackMs=200"
-          "\nBounds.ConfigApplyMs=2000\nBounds.RetryBudgetRatio=0.2\nBounds.BudgetWindowS=10"
-          "\nBounds.RetryBudgetSlack=92\nBounds.FencingRequired=true\nPlatform.Address="
-        + storeIp + ":" + std::to_string(store) + "\nPlatform.form=kv\n";
-}
-
 /// Sends one request and waits for its answer, or for the end of the connection.
 void call(int port, Caller &caller, Record &record)
 {
@@ -208,7 +193,7 @@
         store.put("servers/i-" + std::to_string(index), entry.dump());
     }
     store.put("op/config", configuration());
-    writeFile(temporary + "/entry.conf", settings(frontPort, freePort(entryIp), freePort(entryIp), storePort));
+    writeFile(temporary + "/entry.conf", entrySettings(entryIp, frontPort, storeIp + ":" + std::to_string(storePort)));
     Program entry(root, "entry", temporary + "/entry.conf", temporary + "/entry.log");
     sleepMs(stableWindowMs + 1000);
     if (!entry.isRunning()) {
@@ -230,17 +215,7 @@
     const bool areAllRead = unreadBytes(entryIp, frontPort) == 0;
     double stoppedAt = 0.0;
     if (hasTrouble()) {
-        stoppedAt = record.secondsNow();
-        record.line("SIGTERM to the entry; SIGKILL would follow after " + std::to_string(graceMs) + " ms");
-        entry.signal(SIGTERM);
-        while (entry.isRunning() && record.secondsNow() < stoppedAt + graceMs / 1000.0) {
-            sleepMs(10);
-        }
-        record.line(entry.isRunning() ? "the entry runs at the end of the grace period"
-                                      : "the entry has ended by itself");
-        if (entry.isRunning()) {
-            entry.signal(SIGKILL);
-        }
+        stoppedAt = stopAsPlanned(entry, record, graceMs);
     }
     for (auto &thread : threads) {
         thread.join();
@@ -268,15 +243,5 @@
 
 int main(int argc, char **argv)
 {
-    if (argc != 4) {
-        std::cerr << "usage: case7 ROOT FOLDER TEMPORARY-FOLDER" << std::endl;
-        return exitNotRun;
-    }
-    try {
-        // Threads of the stand-ins are still blocked in their sockets.
-        std::_Exit(run(argv[1], argv[2], argv[3]));
-    } catch (const std::exception &error) {
-        std::cerr << error.what() << std::endl;
-        std::_Exit(exitNotRun);
-    }
+    return runCase(argc, argv, run);
 }
--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -185,15 +185,5 @@
 
 int main(int argc, char **argv)
 {
-    if (argc != 4) {
-        std::cerr << "usage: case8 ROOT FOLDER TEMPORARY-FOLDER" << std::endl;
-        return exitNotRun;
-    }
-    try {
-        // Threads of the stand-ins are still blocked in their sockets.
-        std::_Exit(run(argv[1], argv[2], argv[3]));
-    } catch (const std::exception &error) {
-        std::cerr << error.what() << std::endl;
-        std::_Exit(exitNotRun);
-    }
+    return runCase(argc, argv, run);
 }
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,14 +1,3 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
-set -u
-folder=$(cd "$(dirname "$0")" && pwd)
-number=$(basename "$folder")
-root=$(cd "$folder/../.." && pwd)
-program=$root/target/review-2/case$number
-[ -x "$program" ] && [ -x "$root/target/bin/lycheelandingd" ] || { echo "run the build of the deploy file and review/build-2.sh first" >&2; exit 2; }
-temporary=$(mktemp -d)
-trap 'rm -rf "$temporary"' EXIT
-timeout -s KILL 110 "$program" "$root" "$folder" "$temporary"
-code=$?
-[ "$code" -le 2 ] || code=2
-exit "$code"
+exec "$(dirname "$0")/../common-2/run-case.sh" "$(dirname "$0")"
--- a/review/common-2/harness.hh
+++ b/review/common-2/harness.hh
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <netinet/tcp.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -383,6 +384,8 @@
     {
         m_pid = ::fork();
         if (m_pid == 0) {
+            // The case itself may be killed at the end of its time.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log = ::open(logPath.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
             ::dup2(log, STDOUT_FILENO);
             ::dup2(log, STDERR_FILENO);
@@ -441,4 +444,55 @@
     std::ofstream(path) << text;
 }
 
+/// The settings of an entry of the deployment jackhead-kol, with the addresses of a case.
+inline std::string entrySettings(const std::string &ip, int frontPort, const std::string &store)
+{
+    const auto address = [&ip](int port) { return ip + ":" + std::to_string(port); };
+    const int internalPort = freePort(ip);
+    return "NodeName=front-kolkata-a-1\nRole=entry\nMachineClass=front\nServes=front\nIp=" + ip
+        + "\nZone=kolkata-a\nRegion=bengal\nListen.Front=" + address(frontPort)
+        + "\nListen.Readiness=" + address(freePort(ip)) + "\nInternalPorts=" + std::to_string(internalPort) + ","
+        + std::to_string(internalPort + 9)
+        + "\nLimits.CpuShare=0.19\nLimits.Cores=1\nLimits.MemoryMb=260\nLimits.MaxFds=4100\nLimits.LinkMbps=1000.0"
+          "\nDiscovery=platform\nHeartbeatMs=1200"
+          "\nContracts=base,drain,config,cost,retry,recover,engine,stream,tenants,platform,experts"
+          "\nBounds.StableWindowMs=3000\nBounds.DrainMs=2000\nBounds.GraceS=8\nBounds.LossSlackMs=200"
+          "\nBounds.ConfigApplyMs=2000\nBounds.RetryBudgetRatio=0.2\nBounds.BudgetWindowS=10"
+          "\nBounds.RetryBudgetSlack=92\nBounds.FencingRequired=true\nPlatform.Address="
+        + store + "\nPlatform.form=kv\nPlatform.WritesPerS=400\nPlatform.ReadsPerS=2000\n";
+}
+
+/// Stops the entry as the platform does: SIGTERM, and SIGKILL after the grace period. Returns the time of the SIGTERM.
+inline double stopAsPlanned(Program &entry, Record &record, int graceMs)
+{
+    const double stoppedAt = record.secondsNow();
+    record.line("SIGTERM to the entry; SIGKILL would follow after " + std::to_string(graceMs) + " ms");
+    entry.signal(SIGTERM);
+    while (entry.isRunning() && record.secondsNow() < stoppedAt + graceMs / 1000.0) {
+        sleepMs(10);
+    }
+    record.line(entry.isRunning() ? "the entry runs at the end of the grace period" : "the entry has ended by itself");
+    if (entry.isRunning()) {
+        entry.signal(SIGKILL);
+    }
+    return stoppedAt;
+}
+
+/// The main function of a case: runs it with the repository's root, the folder of the case and a temporary folder.
+template <typename Run>
+int runCase(int argc, char **argv, Run run)
+{
+    if (argc != 4) {
+        std::cerr << "usage: " << argv[0] << " ROOT FOLDER TEMPORARY-FOLDER" << std::endl;
+        return exitNotRun;
+    }
+    try {
+        // Threads of the stand-ins are still blocked in their sockets.
+        std::_Exit(run(argv[1], argv[2], argv[3]));
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << std::endl;
+        std::_Exit(exitNotRun);
+    }
+}
+
 } // namespace review
