--- a/review/8/case.cpp
+++ b/review/7/case.cc
@@ -1,15 +1,15 @@
 // Model workers whose answers to the sides beside them have no end.
 //
-// Usage: case8 ROOT FOLDER TEMPORARY-FOLDER. Writes FOLDER/record.txt; exits with 1 if the rule on faults was broken, 0
+// Usage: case7 ROOT FOLDER TEMPORARY-FOLDER. Writes FOLDER/record.txt; exits with 1 if the rule on faults was broken, 0
 // if it held and 2 if the case could not run. With TROUBLE=0 the workers stay sound.
 
-#include "../common-2/harness.h"
+#include "../common-2/harness.hh"
 
 using namespace review;
 
 namespace {
 
-const std::string storeIp = "127.81.0.9";
+const std::string storeIp = "127.71.0.9";
 
 // Of kit/more/system/sites/jackhead-kol.toml and SYSTEM.md: 4 entries and 16 sides with 128 MB each.
 constexpr int sides = 2; // a tenth of 20 machines
@@ -23,7 +23,7 @@
 
 std::string ipOf(int index)
 {
-    return "127.81.0." + std::to_string(index + 1);
+    return "127.71.0." + std::to_string(index + 1);
 }
 
 struct Worker
@@ -186,7 +186,7 @@
 int main(int argc, char **argv)
 {
     if (argc != 4) {
-        std::cerr << "usage: case8 ROOT FOLDER TEMPORARY-FOLDER" << std::endl;
+        std::cerr << "usage: case7 ROOT FOLDER TEMPORARY-FOLDER" << std::endl;
         return exitNotRun;
     }
     try {
