--- a/review/common-3/rankgroup.hh
+++ b/review/common-3/rankgroup.hh
@@ -28,8 +28,6 @@
 struct OrderPlan
 {
     std::optional<std::chrono::milliseconds> late;
-    /// Instead of a time: carries it out once this holds, 2 s later at the earliest.
-    std::function<bool()> when;
 };
 
 using Lists = std::vector<std::vector<std::vector<std::uint32_t>>>; // Experts, by set and rank.
@@ -148,7 +146,6 @@
     struct LateOrder
     {
         Clock::time_point from;
-        std::function<bool()> when;
         std::size_t rank;
         Json order;
         Clock::time_point arrival;
@@ -318,16 +315,14 @@
     {
         std::unique_lock lock(m_mutex);
         const bool isOver = m_troubleSince && Clock::now() - *m_troubleSince >= troubleTime;
-        auto plan = m_plan && !isOver ? m_plan(number, body) : OrderPlan();
-        if (plan.late || plan.when) {
+        const auto plan = m_plan && !isOver ? m_plan(number, body) : OrderPlan();
+        if (plan.late) {
             m_troubleSince = m_troubleSince.value_or(Clock::now());
         }
         m_orders += m_troubleSince && !isOver ? 1 : 0;
-        if (plan.late || plan.when) {
+        if (plan.late) {
             ++m_unanswered;
-            constexpr std::chrono::milliseconds minLate{2000};
-            m_late.push_back(
-                {Clock::now() + plan.late.value_or(minLate), std::move(plan.when), number, body, Clock::now()});
+            m_late.push_back({Clock::now() + *plan.late, number, body, Clock::now()});
             m_record(describe(number, body) + " -> no answer, to be carried out late");
             lock.unlock();
             // The connection stays open until the caller gives up.
@@ -350,7 +345,7 @@
             const std::lock_guard lock(m_mutex);
             const auto now = Clock::now();
             for (auto at = m_late.begin(); at != m_late.end();) {
-                if (now < at->from || (at->when && !at->when())) {
+                if (now < at->from) {
                     ++at;
                     continue;
                 }
