Planned stop: requests that a stopping entry still has get an answer

Cause: at its timeout EntryDrain decides to exit with a count of running requests, and nothing ended these requests. Nor did anything keep a waiting request from being sent in the last moment, so that it ran and its answer was cut off. Ruled out: answers lost in the last flush; a wrong time to wait.

EntryDrain decides StopSending halfway between the refusal of new requests and the timeout: what is at no backend server is refused as not run, nothing is sent (again) after it. At the timeout what is left is answered: 502, or 503 if it has not run; a begun answer is broken off. Requests are accepted for at most a third of the timeout, so that a short grace period leaves time for the last ones. The entry of the own interface does the same.

--- a/packages/daemon/src/entry/entrydaemon.cpp
+++ b/packages/daemon/src/entry/entrydaemon.cpp
@@ -79,6 +79,7 @@
     shared::PeerVersionTable m_peerVersions;
     shared::AcceptedLinks m_accepted;
     RequestTable m_requests;
+    RunningRequests m_running;
     BackendTable m_backends;
     RequestMetrics m_requestMetrics;
     shared::PeerLinks m_sides;
@@ -132,17 +133,8 @@
 
 EntryServices EntryDaemon::Private::entryServices()
 {
-    return {m_pool.context(),
-            m_configuration,
-            m_admission,
-            m_backends,
-            m_sides,
-            m_requests,
-            m_claims,
-            m_retries,
-            m_requestMetrics,
-            m_gate,
-            m_settings.maxUnsentBytes};
+    return {m_pool.context(), m_configuration, m_admission, m_backends,       m_sides, m_requests,
+            m_running,        m_claims,        m_retries,   m_requestMetrics, m_gate,  m_settings.maxUnsentBytes};
 }
 
 OperatorServices EntryDaemon::Private::operatorServices()
@@ -419,6 +411,11 @@
 {
     EntryGateHandlers handlers;
     handlers.onStopListening = [this] { m_endpoints.stopAccepting(); };
+    handlers.onStopSending = [this] {
+        for (const auto &request : m_running.all()) {
+            request->stopSending();
+        }
+    };
     handlers.onExit = [this](std::size_t unfinished) { onDrained(unfinished); };
     return handlers;
 }
@@ -426,6 +423,9 @@
 void EntryDaemon::Private::onDrained(std::size_t unfinished)
 {
     logging::logChange(logging::Level::Info, "stopped", {{"cutOff", std::to_string(unfinished)}});
+    for (const auto &request : m_running.all()) {
+        request->abandon();
+    }
     m_stopDeadline = m_clock.now() + flushTimeout;
 }
 
--- a/packages/daemon/src/entry/entrygate.cpp
+++ b/packages/daemon/src/entry/entrygate.cpp
@@ -21,6 +21,8 @@
     for (const auto &action : actions) {
         if (std::holds_alternative<decisions::membership::StopListening>(action)) {
             m_handlers.onStopListening();
+        } else if (std::holds_alternative<decisions::membership::StopSending>(action)) {
+            m_handlers.onStopSending();
         } else if (const auto *exit = std::get_if<decisions::membership::Exit>(&action)) {
             m_handlers.onExit(exit->unfinished);
         }
@@ -66,6 +68,12 @@
     return m_drain.isReady();
 }
 
+bool EntryGate::isSending() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_drain.isSending();
+}
+
 decisions::membership::DrainPhase EntryGate::phase() const
 {
     const std::scoped_lock lock(m_mutex);
--- a/packages/daemon/src/entry/entrygate.h
+++ b/packages/daemon/src/entry/entrygate.h
@@ -13,6 +13,8 @@
 struct EntryGateHandlers
 {
     std::function<void()> onStopListening;
+    /// Requests without a backend server are given up, and attempts must not be started any more.
+    std::function<void()> onStopSending;
     /// The drain has ended and the process may exit. `unfinished` requests were still running at the drain timeout.
     std::function<void(std::size_t unfinished)> onExit;
 };
@@ -33,6 +35,8 @@
     void tick();
 
     bool isReady() const;
+    /// Whether attempts may be started.
+    bool isSending() const;
     decisions::membership::DrainPhase phase() const;
 
 private:
--- a/packages/daemon/src/entry/entryservices.h
+++ b/packages/daemon/src/entry/entryservices.h
@@ -7,6 +7,7 @@
 #include "entry/instrumentedstore.h"
 #include "entry/requestmetrics.h"
 #include "entry/requesttable.h"
+#include "entry/runningrequests.h"
 #include "entry/sharedretrypolicy.h"
 
 #include "shared/configurationtable.h"
@@ -26,6 +27,7 @@
     BackendTable &backends;
     shared::PeerLinks &links;
     RequestTable &requests;
+    RunningRequests &running;
     ClaimService<InstrumentedStore> &claims;
     SharedRetryPolicy &retries;
     RequestMetrics &requestMetrics;
--- a/packages/daemon/src/entry/forwardedrequest.cpp
+++ b/packages/daemon/src/entry/forwardedrequest.cpp
@@ -57,6 +57,7 @@
 {
     m_services.requestMetrics.recordReceived();
     const auto self = shared_from_this();
+    m_services.running.add(self);
     m_exchange->onCallerGone([weak = weak_from_this()] {
         if (const auto request = weak.lock()) {
             request->post([](auto &current) { current.onCallerGone(); });
@@ -89,6 +90,10 @@
 
 void ForwardedRequest::chooseBackend()
 {
+    if (!m_services.gate.isSending()) {
+        giveUpStopping();
+        return;
+    }
     auto route = m_request.route;
     route.excluded = m_triedVms;
     const decisions::routing::AttemptId routingAttemptId(shared::randomNumber());
@@ -243,6 +248,29 @@
     return message;
 }
 
+void ForwardedRequest::stopSending()
+{
+    post([](auto &current) {
+        if (!current.m_attempt) {
+            current.giveUpStopping();
+        }
+    });
+}
+
+void ForwardedRequest::giveUpStopping()
+{
+    endAttempt(Outcome::Cancelled);
+    execute(m_requestAttempts.giveUp({core::ErrorKind::Draining, "the entry stops and sends nothing any more"}));
+}
+
+void ForwardedRequest::abandon()
+{
+    post([](auto &current) {
+        current.endAttempt(Outcome::Cancelled);
+        current.execute(current.m_requestAttempts.abandon("the entry ends before the answer is complete"));
+    });
+}
+
 void ForwardedRequest::receive(const wire::RequestRefused &refused)
 {
     post([refused](auto &current) {
@@ -481,6 +509,7 @@
 void ForwardedRequest::end(RequestEnd requestEnd)
 {
     m_isEnded = true;
+    m_services.running.remove(this);
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
     if (m_claim && !m_requestAttempts.mayHaveRun() && requestEnd.kind != RequestEndKind::Answered) {
--- a/packages/daemon/src/entry/forwardedrequest.h
+++ b/packages/daemon/src/entry/forwardedrequest.h
@@ -29,6 +29,10 @@
     ForwardedRequest(EntryServices &services, http::HttpExchangePointer exchange, ClassifiedRequest request);
 
     void start();
+    /// Gives up the request if it is not at a backend server.
+    void stopSending();
+    /// The process ends: answers the caller now.
+    void abandon();
     void receive(const wire::RequestRefused &refused);
     void receive(const wire::AnswerHead &head);
     void receive(const wire::AnswerChunk &chunk);
@@ -83,6 +87,7 @@
     /// Chooses again after a short interval while the backend servers are saturated; gives up after maxCapacityWait or
     /// on any other error.
     void waitForCapacity(const core::Error &error);
+    void giveUpStopping();
     void onDeadline();
     void onCallerGone();
 
--- a/packages/decisions/include/lycheelanding/decisions/attempts/requestattempts.h
+++ b/packages/decisions/include/lycheelanding/decisions/attempts/requestattempts.h
@@ -4,6 +4,7 @@
 #include "lycheelanding/core/ids.h"
 #include "lycheelanding/core/result.h"
 
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -85,6 +86,8 @@
     AttemptActions answered(AttemptNumber attempt);
     /// The response to RetryPossible when no further attempt is made. Also ends a request that has had no attempt.
     AttemptActions giveUp(const core::Error &error);
+    /// The process ends before the request does: cancels the attempt in progress and answers the caller now.
+    AttemptActions abandon(const std::string &reason);
     /// The caller has disconnected.
     AttemptActions callerGone();
     /// Ends the request once its deadline has passed.
--- a/packages/decisions/src/attempts/requestattempts.cpp
+++ b/packages/decisions/src/attempts/requestattempts.cpp
@@ -100,6 +100,16 @@
     return actions;
 }
 
+AttemptActions RequestAttempts::abandon(const std::string &reason)
+{
+    AttemptActions actions;
+    if (!m_isOver) {
+        cancelCurrent(actions);
+        answer({mayHaveRun() ? core::ErrorKind::BackendServerLost : core::ErrorKind::Draining, reason}, actions);
+    }
+    return actions;
+}
+
 AttemptActions RequestAttempts::callerGone()
 {
     AttemptActions actions;
--- a/packages/decisions/src/membership/entrydrain.cpp
+++ b/packages/decisions/src/membership/entrydrain.cpp
@@ -1,7 +1,16 @@
 #include "lycheelanding/decisions/membership/entrydrain.h"
 
+#include <algorithm>
+
 namespace lycheelanding::decisions::membership {
 
+namespace {
+
+/// At most this part of the timeout is spent on accepting requests, so that the last ones can still be answered.
+constexpr int acceptDivisor = 3;
+
+} // namespace
+
 EntryDrain::EntryDrain(const EntryDrainSettings &settings) : m_settings(settings) { }
 
 EntryDrainActions EntryDrain::stopRequested(core::TimePoint now)
@@ -48,17 +57,31 @@
         return;
     }
     const core::Duration sinceStop = now - *m_stopRequestedAt;
-    if (m_phase == DrainPhase::Serving && sinceStop >= m_settings.notReadyTime) {
+    if (m_phase == DrainPhase::Serving && sinceStop >= acceptTime()) {
         m_phase = DrainPhase::Draining;
         actions.emplace_back(StopListening{});
     }
     if (m_phase != DrainPhase::Draining) {
         return;
     }
+    if (m_isSending && sinceStop >= sendTime()) {
+        m_isSending = false;
+        actions.emplace_back(StopSending{});
+    }
     if (m_running == 0 || sinceStop >= m_settings.timeout) {
         m_phase = DrainPhase::Stopped;
         actions.emplace_back(Exit{m_running});
     }
 }
 
+std::chrono::milliseconds EntryDrain::acceptTime() const
+{
+    return std::min(m_settings.notReadyTime, m_settings.timeout / acceptDivisor);
+}
+
+std::chrono::milliseconds EntryDrain::sendTime() const
+{
+    return acceptTime() + (m_settings.timeout - acceptTime()) / 2;
+}
+
 } // namespace lycheelanding::decisions::membership
--- a/packages/decisions/tests/attempts/requestattemptstest.cpp
+++ b/packages/decisions/tests/attempts/requestattemptstest.cpp
@@ -86,6 +86,12 @@
 
     void giveUp() { apply(m_attempts.giveUp(refusal)); }
     void disconnect() { apply(m_attempts.callerGone()); }
+    void abandon()
+    {
+        end();
+        apply(m_attempts.abandon("the process ends"));
+        RC_ASSERT(m_attempts.isOver());
+    }
 
     void repeatOldEvent()
     {
@@ -204,6 +210,8 @@
     case 14:
         if (event > 240) {
             simulation.disconnect();
+        } else if (event > 208) {
+            simulation.abandon();
         }
         break;
     default:
--- a/packages/decisions/tests/membership/draintest.cpp
+++ b/packages/decisions/tests/membership/draintest.cpp
@@ -191,4 +191,27 @@
     EXPECT_NE(find<Exit>(drain.requestFinished(core::TimePoint(milliseconds(5001)))), nullptr);
 }
 
+// A request that waited for a place was sent at the very end of a stop, or ended with the process, without an answer.
+TEST(EntryDrainTest, stopsSendingHalfwayBetweenTheLastRequestAndTheTimeout)
+{
+    EntryDrain drain{EntryDrainSettings{milliseconds(2500), milliseconds(7500)}};
+    drain.requestArrived(core::TimePoint());
+    drain.stopRequested(core::TimePoint());
+    EXPECT_EQ(find<StopSending>(drain.tick(core::TimePoint(milliseconds(4999)))), nullptr);
+    EXPECT_TRUE(drain.isSending());
+    EXPECT_NE(find<StopSending>(drain.tick(core::TimePoint(milliseconds(5000)))), nullptr);
+    EXPECT_FALSE(drain.isSending());
+    EXPECT_EQ(find<StopSending>(drain.tick(core::TimePoint(milliseconds(5001)))), nullptr);
+    EXPECT_NE(find<Exit>(drain.tick(core::TimePoint(milliseconds(7500)))), nullptr);
+}
+
+// With a timeout below the time of being not ready, requests were accepted until the process ended.
+TEST(EntryDrainTest, shortTimeoutLeavesTimeForTheLastRequests)
+{
+    EntryDrain drain{EntryDrainSettings{milliseconds(2500), milliseconds(1500)}};
+    drain.stopRequested(core::TimePoint());
+    EXPECT_NE(find<AdmitRequest>(drain.requestArrived(core::TimePoint(milliseconds(499)))), nullptr);
+    EXPECT_NE(find<RefuseRequest>(drain.requestArrived(core::TimePoint(milliseconds(500)))), nullptr);
+}
+
 } // namespace lycheelanding::decisions::membership
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -94,8 +94,9 @@
     void forward(const http::HttpExchangePointer &exchange);
     void forwardEarlyRequests();
     void handleReadiness(const http::HttpExchangePointer &exchange);
-    std::vector<std::shared_ptr<ForwardedExchange>> resumableStreams() const;
     void cancelHeldAttempts();
+    /// Answers the callers of the requests that have not ended.
+    void abandonRunning();
     void backendLeaves(const BackendId &id);
     void execute(const decisions::membership::EntryDrainActions &actions);
     void tickDrain();
@@ -112,7 +113,8 @@
     WaitingRequests<ForwardedExchange> m_waiting;
     decisions::admission::QueueForecast m_queueForecast;
     AttemptId m_lastAttempt;
-    std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> m_resumableStreams;
+    ExchangeRegistry m_running;
+    ExchangeRegistry m_resumableStreams;
     IntakeTracker m_intakeTracker;
     CapacityReporter m_capacityReporter;
     RequestGuard m_requestGuard;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardedexchange.h
@@ -38,6 +38,8 @@
     void replaceInactiveAttempt();
     /// Ends the current attempt if its prompt is held now and its answer has not begun.
     void cancelHeldAttempt();
+    /// The process ends: answers the caller now.
+    void abandon();
     bool isFinished() const { return m_isFinished; }
     /// When it is given up if no backend server has capacity; earlier for a late request that has no prospect of one.
     core::TimePoint waitDeadline() const;
--- a/packages/forwarding/include/lycheelanding/forwarding/forwardingresources.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/forwardingresources.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheelanding/decisions/admission/queueforecast.h"
+#include "lycheelanding/decisions/membership/entrydrain.h"
 #include "lycheelanding/forwarding/backendset.h"
 #include "lycheelanding/forwarding/eventlog.h"
 #include "lycheelanding/forwarding/fieldnames.h"
@@ -20,6 +21,7 @@
 namespace lycheelanding::forwarding {
 
 class ForwardedExchange;
+using ExchangeRegistry = std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>>;
 
 /// Resources that all requests of an entry share. Used on one thread.
 struct ForwardingResources
@@ -39,8 +41,11 @@
     /// Called when a backend server has said in an answer that it leaves.
     const std::function<void(const BackendId &)> &onLeaving;
     decisions::admission::QueueForecast &queueForecast;
-    /// Requests with a stream that another backend server can resume.
-    std::map<const ForwardedExchange *, std::weak_ptr<ForwardedExchange>> &resumableStreams;
+    /// All requests that have not ended.
+    ExchangeRegistry &running;
+    /// Those with a stream that another backend server can resume.
+    ExchangeRegistry &resumableStreams;
+    const decisions::membership::EntryDrain &drain;
 };
 
 /// A place at a backend server that an attempt takes.
--- a/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/requestlog.h
@@ -59,6 +59,8 @@
     NotResumable,
     /// The retry policy refuses: the budget is spent, or the time or the kind of error does not allow it.
     Policy,
+    /// The entry stops.
+    Stopping,
 };
 
 std::string_view nameOf(RetryDenial denial);
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -40,6 +40,18 @@
     return settings;
 }
 
+/// A copy, since requests that end remove themselves from the registry.
+std::vector<std::shared_ptr<ForwardedExchange>> exchangesIn(const ExchangeRegistry &registry)
+{
+    std::vector<std::shared_ptr<ForwardedExchange>> exchanges;
+    for (const auto &[key, weak] : registry) {
+        if (auto exchange = weak.lock()) {
+            exchanges.push_back(std::move(exchange));
+        }
+    }
+    return exchanges;
+}
+
 } // namespace
 
 EntryServer::EntryServer(asio::io_context &context, EntryServerSettings settings, EventLog &log)
@@ -204,9 +216,9 @@
 void EntryServer::forward(const http::HttpExchangePointer &exchange)
 {
     const ForwardingResources resources{
-        m_context,       m_settings.names, m_backends,      m_retries,         m_pool,
-        m_log,           m_metrics,        m_waiting,       m_lastAttempt,     m_requestGuard,
-        m_intakeTracker, m_backendLeaves,  m_queueForecast, m_resumableStreams};
+        m_context,       m_settings.names, m_backends,         m_retries,      m_pool,          m_log,
+        m_metrics,       m_waiting,        m_lastAttempt,      m_requestGuard, m_intakeTracker, m_backendLeaves,
+        m_queueForecast, m_running,        m_resumableStreams, m_drain};
     const auto onFinished = [this] {
         execute(m_drain.requestFinished(m_clock.now()));
         sendWaitingRequests();
@@ -214,32 +226,27 @@
     std::make_shared<ForwardedExchange>(resources, m_routes, exchange, onFinished)->start();
 }
 
-std::vector<std::shared_ptr<ForwardedExchange>> EntryServer::resumableStreams() const
-{
-    std::vector<std::shared_ptr<ForwardedExchange>> streams;
-    for (const auto &[key, weak] : m_resumableStreams) {
-        if (auto stream = weak.lock()) {
-            streams.push_back(std::move(stream));
-        }
-    }
-    return streams;
-}
-
 void EntryServer::replaceInactiveAttempts()
 {
-    // Resuming a stream may finish requests, which removes them from m_resumableStreams.
-    for (const auto &stream : resumableStreams()) {
+    for (const auto &stream : exchangesIn(m_resumableStreams)) {
         stream->replaceInactiveAttempt();
     }
 }
 
 void EntryServer::cancelHeldAttempts()
 {
-    for (const auto &stream : resumableStreams()) {
+    for (const auto &stream : exchangesIn(m_resumableStreams)) {
         stream->cancelHeldAttempt();
     }
 }
 
+void EntryServer::abandonRunning()
+{
+    for (const auto &exchange : exchangesIn(m_running)) {
+        exchange->abandon();
+    }
+}
+
 void EntryServer::backendLeaves(const BackendId &id)
 {
     if (!m_backends.find(id)) {
@@ -284,7 +291,11 @@
         if (std::holds_alternative<decisions::membership::StopListening>(action)) {
             m_callerServer.stopAccepting();
             m_callerServer.closeIdleConnections();
+        } else if (std::holds_alternative<decisions::membership::StopSending>(action)) {
+            forwardEarlyRequests();
+            sendWaitingRequests();
         } else if (const auto *exit = std::get_if<decisions::membership::Exit>(&action)) {
+            abandonRunning();
             m_log.write(LogImportance::State, "stopped", {{"cutOff", static_cast<std::int64_t>(exit->unfinished)}});
             m_isStopped = true;
             m_flushDeadline = m_clock.now() + finalFlushTimeout;
--- a/packages/forwarding/src/exchangeretries.cpp
+++ b/packages/forwarding/src/exchangeretries.cpp
@@ -56,6 +56,9 @@
 
 std::optional<RetryDenial> ForwardedExchange::retryDenial() const
 {
+    if (!m_resources.drain.isSending()) {
+        return RetryDenial::Stopping;
+    }
     if (m_tried.size() >= m_terms.route->maxAttempts) {
         return RetryDenial::AttemptsUsed;
     }
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -47,6 +47,7 @@
     if (m_terms.route->kind == RouteKind::Stream) {
         m_answer.setStream(isResumable);
     }
+    m_resources.running.emplace(this, weak_from_this());
     if (isResumable) {
         m_resources.resumableStreams.emplace(this, weak_from_this());
     }
@@ -90,6 +91,10 @@
 
 bool ForwardedExchange::giveUpUnservable()
 {
+    if (!m_resources.drain.isSending()) {
+        execute(m_attempts->giveUp({core::ErrorKind::Draining, "the entry stops and sends nothing any more"}));
+        return true;
+    }
     const auto held = m_resources.requestGuard.holdError(m_terms.features);
     const auto error
         = held ? held : m_resources.backends.unservableError(m_terms.service, m_limits, m_attemptName, now());
@@ -325,6 +330,13 @@
     }
 }
 
+void ForwardedExchange::abandon()
+{
+    if (!m_isFinished) {
+        execute(m_attempts->abandon("the entry ends before the answer is complete"));
+    }
+}
+
 void ForwardedExchange::onCallerGone()
 {
     if (m_isFinished) {
@@ -397,6 +409,7 @@
     m_timer.cancel();
     m_retryTimer.cancel();
     endAttempt(Outcome::Cancelled);
+    m_resources.running.erase(this);
     m_resources.resumableStreams.erase(this);
     m_log.writeFinished({outcome, status, m_terms.service, m_tried.empty() ? std::string() : m_tried.back().text(),
                          m_tried.size(), m_framing},
--- a/packages/forwarding/src/requestlog.cpp
+++ b/packages/forwarding/src/requestlog.cpp
@@ -15,11 +15,12 @@
     {TimeLimitSource::Caller, "caller"},
 }};
 
-constexpr std::array<core::NameEntry<RetryDenial>, 4> retryDenialNames{{
+constexpr std::array<core::NameEntry<RetryDenial>, 5> retryDenialNames{{
     {RetryDenial::AttemptsUsed, "attemptsUsed"},
     {RetryDenial::RequestHeld, "requestHeld"},
     {RetryDenial::NotResumable, "notResumable"},
     {RetryDenial::Policy, "policy"},
+    {RetryDenial::Stopping, "stopping"},
 }};
 
 std::int64_t millisecondsOf(core::Duration duration)
--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -146,8 +146,9 @@
 {
 public:
     /// Log lines are written to the descriptor; -1 discards them.
-    explicit EntrySimulation(int logDescriptor = -1, bool adaptiveCapacity = false)
-        : m_log(logDescriptor, "entry"), m_entry(m_context, settings(adaptiveCapacity), m_log)
+    explicit EntrySimulation(int logDescriptor = -1, bool adaptiveCapacity = false,
+                             const decisions::membership::EntryDrainSettings &drain = {})
+        : m_log(logDescriptor, "entry"), m_entry(m_context, settings(adaptiveCapacity, drain), m_log)
     {
         isStarted = core::isOk(m_entry.start());
         m_entry.setLeavingHandler([this](const BackendId &id) { reportedLeaving.push_back(id); });
@@ -187,6 +188,7 @@
         backend.service = core::ServiceId("app");
         backend.address = address;
         backend.dataCentre = core::DataCentreId(dataCentre);
+        backend.slots = slotsOfNewBackends;
         m_entry.applyBackendChanges({decisions::membership::BackendUsable{backend}});
         m_entry.backendsListed();
     }
@@ -258,6 +260,8 @@
     EventLog &log() { return m_log; }
 
     bool isStarted = false;
+    /// 0: without a limit.
+    std::size_t slotsOfNewBackends = 0;
     /// Backend servers of which the entry has reported that they leave.
     std::vector<BackendId> reportedLeaving;
 
@@ -270,7 +274,7 @@
         }
     }
 
-    static EntryServerSettings settings(bool adaptiveCapacity)
+    static EntryServerSettings settings(bool adaptiveCapacity, const decisions::membership::EntryDrainSettings &drain)
     {
         EntryServerSettings settings;
         const auto address = asio::ip::make_address("127.0.0.1");
@@ -291,6 +295,7 @@
         settings.names.requestLimit = "Limit";
         settings.names.coldTime = "Cold";
         settings.adaptiveCapacity = adaptiveCapacity;
+        settings.drain = drain;
         return settings;
     }
 
