HTTP client: buffered answers have a limit, also where nobody sets one

Cause: HttpClientRequest::maxBodyBytes meant "no limit" by default, and no user of the client set one: engines, store, VM list, key-value service, tool. Ruled out: heads (bounded), parsing (the memory grows before it).

The side of the own interface, which passes answers on as they arrive, asks for no limit.

--- a/packages/daemon/src/side/requestrunner.cpp
+++ b/packages/daemon/src/side/requestrunner.cpp
@@ -130,6 +130,7 @@
     }
     transfer.body = request.body;
     transfer.timeout = std::chrono::milliseconds(request.timeoutMs);
+    transfer.maxBodyBytes = 0;
     // Answers of backend servers do not name their request.
     transfer.sharesConnection = false;
 
--- a/packages/http/include/lycheelanding/http/httpclient.h
+++ b/packages/http/include/lycheelanding/http/httpclient.h
@@ -12,6 +12,9 @@
 
 namespace lycheelanding::http {
 
+/// Limit of the body of an answer that is buffered, unless the request sets another one.
+inline constexpr std::size_t defaultMaxAnswerBytes = 16UL * 1024 * 1024;
+
 struct HttpClientRequest
 {
     std::string method = "GET";
@@ -22,8 +25,8 @@
     std::chrono::milliseconds connectTimeout = std::chrono::seconds(1);
     /// From the start of the request to the last byte of the answer; 0 means no timeout.
     std::chrono::milliseconds timeout = std::chrono::seconds(10);
-    /// Answers with a larger body fail; 0 means no limit.
-    std::size_t maxBodyBytes = 0;
+    /// Answers with a larger body fail; 0 means no limit, for an answer that is passed on as it arrives.
+    std::size_t maxBodyBytes = defaultMaxAnswerBytes;
     /// Whether the request may share its connection with others. A server that sends an answer twice can give the copy
     /// to the next request on the connection.
     bool sharesConnection = true;
--- a/packages/http/src/private/httptransfer.cpp
+++ b/packages/http/src/private/httptransfer.cpp
@@ -115,6 +115,10 @@
     const auto self = shared_from_this();
     handlers.onHead = [self](const AnswerHead &head) {
         self->m_hasHead = true;
+        if (head.bodyBytes && self->isTooLarge(*head.bodyBytes)) {
+            self->finishTooLarge();
+            return;
+        }
         if (!self->m_isFinished && self->m_handlers.onHead) {
             self->m_handlers.onHead(head.status, head.headers);
         }
@@ -147,9 +151,8 @@
         return;
     }
     m_bodyBytes += bytes.size();
-    if (m_request.maxBodyBytes != 0 && m_bodyBytes > m_request.maxBodyBytes) {
-        finish(transferError(core::ErrorKind::BackendServerFailed,
-                             "answered with more than " + std::to_string(m_request.maxBodyBytes) + " bytes"));
+    if (isTooLarge(m_bodyBytes)) {
+        finishTooLarge();
         return;
     }
     if (m_handlers.onChunk) {
@@ -157,6 +160,17 @@
     }
 }
 
+bool HttpTransfer::isTooLarge(std::uint64_t bodyBytes) const
+{
+    return m_request.maxBodyBytes != 0 && bodyBytes > m_request.maxBodyBytes;
+}
+
+void HttpTransfer::finishTooLarge()
+{
+    finish(transferError(core::ErrorKind::BackendServerFailed,
+                         "answered with more than " + std::to_string(m_request.maxBodyBytes) + " bytes"));
+}
+
 void HttpTransfer::onFailed(const core::Error &error, bool isReused)
 {
     if (m_isFinished) {
--- a/packages/http/src/private/httptransfer.h
+++ b/packages/http/src/private/httptransfer.h
@@ -38,6 +38,8 @@
     void sendOnNewConnection();
     void send(const ClientConnectionPointer &connection, bool isReused);
     void onBody(std::string_view bytes);
+    bool isTooLarge(std::uint64_t bodyBytes) const;
+    void finishTooLarge();
     void onFailed(const core::Error &error, bool isReused);
     void finish(const core::Status &status);
     core::Error transferError(core::ErrorKind kind, const std::string &reason) const;
--- a/packages/http/tests/httpclienttest.cpp
+++ b/packages/http/tests/httpclienttest.cpp
@@ -298,6 +298,32 @@
     held.clear();
 }
 
+// The answer to a request that set no limit was kept until the memory of the machine was used up.
+TEST(HttpClient, answerWithoutEndFailsAtTheDefaultLimit)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string piece(64UL * 1024, 'x');
+    for (const auto &[start, part] : std::vector<std::pair<std::string, std::string>>{
+             {head + "\r\n", piece},
+             {head + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + piece + "\r\n"},
+             {head + "Content-Length: 99999999999\r\n\r\n", piece}}) {
+        RawListener listener;
+        HttpClient client;
+        auto result = std::async(std::launch::async, [&] { return client.fetchAndWait(getRequest(listener.url())); });
+        auto socket = listener.accept();
+        readRequest(socket, 0);
+        asio::error_code error;
+        asio::write(socket, asio::buffer(start), error);
+        std::size_t sentBytes = 0;
+        while (!error && sentBytes < 4 * defaultMaxAnswerBytes) {
+            sentBytes += asio::write(socket, asio::buffer(part), error);
+        }
+        EXPECT_LT(sentBytes, 2 * defaultMaxAnswerBytes) << start;
+        socket.close();
+        EXPECT_EQ(kindOf(result.get()), ErrorKind::BackendServerFailed) << start;
+    }
+}
+
 TEST(HttpClient, destructionCancelsRunningRequests)
 {
     const RawListener listener;
