JSON of peers: one limit on depth, containers and values for all readers

Found while looking for other readers that take memory without a bound: a parsed document takes up to 40 times the memory of its text, and only the platform's adapter bounded its depth. The VM list, the key-value service, engines and callers' bodies on the own interface were parsed as they came.

Rows of the VM list may be nested as before: one writer's row must not hide the others (VmList.deeplyNestedRow... shows it). Callers' bodies may have 256 levels, as schemas of tools are deep.

--- a/packages/daemon/src/entry/requestclassifier.cpp
+++ b/packages/daemon/src/entry/requestclassifier.cpp
@@ -1,5 +1,6 @@
 #include "entry/requestclassifier.h"
 
+#include "lycheelanding/core/jsonlimits.h"
 #include "lycheelanding/core/stablehash.h"
 
 #include <nlohmann/json.hpp>
@@ -21,6 +22,8 @@
 /// Length of the beginning of a single-message prompt that counts as the prefix shared with other prompts.
 constexpr std::size_t sharedPrefixBytes = 256;
 constexpr std::size_t maxIdempotencyKeyBytes = 255;
+/// Callers describe their tools by schemas, which are nested more deeply than the project's own documents.
+constexpr std::size_t maxRequestDepth = 256;
 
 core::Error malformed(const std::string &detail)
 {
@@ -86,6 +89,11 @@
 core::Status classifyModelRequest(const http::HttpRequest &request, const configuration::Document &document,
                                   ClassifiedRequest &classified)
 {
+    core::JsonLimits limits;
+    limits.maxDepth = maxRequestDepth;
+    if (core::exceedsLimits(request.body, limits)) {
+        return malformed("the body has too many values or levels");
+    }
     const auto body = Json::parse(request.body, nullptr, false);
     if (!body.is_object() || !body.contains("model") || !body["model"].is_string()) {
         return malformed("the body is not a JSON object with a model");
--- a/packages/services/src/keyvaluestore.cpp
+++ b/packages/services/src/keyvaluestore.cpp
@@ -1,6 +1,6 @@
 #include "lycheelanding/services/keyvaluestore.h"
 
-#include <nlohmann/json.hpp>
+#include "private/answerjson.h"
 
 namespace lycheelanding::services {
 
@@ -27,7 +27,7 @@
     if (response.status == statusNotFound) {
         return std::optional<StoredValue>();
     }
-    const auto json = Json::parse(response.body, nullptr, false);
+    const auto json = parsedAnswer(response.body);
     if (response.status != statusOk || !json.is_object()) {
         return storeUnavailable("status " + std::to_string(response.status));
     }
@@ -46,7 +46,7 @@
         return WriteAnswer{isUnsent ? WriteOutcome::Unavailable : WriteOutcome::Unknown, 0};
     }
     const auto &response = core::valueOf(result);
-    const auto json = Json::parse(response.body, nullptr, false);
+    const auto json = parsedAnswer(response.body);
     const auto revision = json.is_object() && json.contains("revision") && json["revision"].is_number_unsigned()
         ? json["revision"].get<std::uint64_t>()
         : 0;
--- a/packages/services/src/modelengine.cpp
+++ b/packages/services/src/modelengine.cpp
@@ -2,7 +2,7 @@
 
 #include "lycheelanding/core/nametable.h"
 
-#include <nlohmann/json.hpp>
+#include "private/answerjson.h"
 
 #include <array>
 
@@ -40,8 +40,12 @@
     if (response.status != statusOk) {
         return unreadableAnswer("status " + std::to_string(response.status));
     }
+    const Json json = parsedAnswer(response.body);
+    if (json.is_discarded()) {
+        return unreadableAnswer("not JSON, or too large");
+    }
     try {
-        return read(Json::parse(response.body));
+        return read(json);
     } catch (const Json::exception &exception) {
         return unreadableAnswer(exception.what());
     }
--- a/packages/services/src/vmlist.cpp
+++ b/packages/services/src/vmlist.cpp
@@ -1,6 +1,6 @@
 #include "lycheelanding/services/vmlist.h"
 
-#include <nlohmann/json.hpp>
+#include "private/answerjson.h"
 
 #include <algorithm>
 #include <charconv>
@@ -83,9 +83,12 @@
 
 std::optional<std::vector<VmRow>> vmRowsFrom(std::string_view body)
 {
-    auto json = Json::parse(body, nullptr, false);
+    // Rows have several writers: one that is nested deeply must not hide the others.
+    core::JsonLimits limits;
+    limits.maxDepth = limits.maxContainers;
+    auto json = parsedAnswer(body, limits);
     if (json.is_discarded()) {
-        json = Json::parse(withoutHugeNumbers(body), nullptr, false);
+        json = parsedAnswer(withoutHugeNumbers(body), limits);
     }
     const auto list = json.is_object() ? json.find("vms") : json.end();
     if (list == json.end() || !list->is_array()) {
