HTTP client: an answer that is reset within the upload is not complete

Callers got a part of an answer as a whole one: a server had answered a long upload at once, without a length, and reset the connection while the upload was still being written (seen on the users' machines).

Cause: the kernel reports a reset to one call. Here that is the write, whose error was ignored; the read then sees only the end of the connection, which completes a body without a length. Ruled out: the parser (it ends such a body with the connection only) and resets after the upload (noticed by the read).

A failed write is remembered. If the connection ends within the upload, the answer is complete once the upload has been written, so that a server which answers early and reads on, as RFC 9112 advises, is served as before.

--- a/packages/http/src/clientconnection.cpp
+++ b/packages/http/src/clientconnection.cpp
@@ -92,6 +92,8 @@
     void setOptions();
     void read();
     void onRead(const asio::error_code &error, std::size_t size);
+    /// The server has closed the connection.
+    void endWithConnection();
     void parse(std::string_view bytes);
     bool isEventStreamBody(const AnswerHead &answer) const;
     bool isStreamCutOff() const;
@@ -121,6 +123,10 @@
     bool m_isHeadRequest = false;
     bool m_isBusy = false;
     bool m_isWriting = false;
+    bool m_hasWriteFailed = false;
+    /// The server has ended the connection, and with it the answer, while the request is still being written. A server
+    /// that has not reset the connection reads the rest.
+    bool m_endsWithWrite = false;
     bool m_matchesRequest = false;
     bool m_isInterim = false;
     bool m_hasSkippedAnswer = false;
@@ -184,15 +190,21 @@
     m_handlers = std::move(handlers);
     m_isBusy = true;
     m_isWriting = true;
+    m_hasWriteFailed = false;
+    m_endsWithWrite = false;
     m_hasSkippedAnswer = false;
     m_interimAnswers = 0;
     m_skippedBytes = 0;
     m_isHeadTimed = false;
     // A failed write is reported by the read: the server may have answered before it closed the connection.
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_request.head), asio::buffer(m_request.body)};
-    asio::async_write(m_socket, buffers, [self = shared_from_this()](const auto &, auto) {
+    asio::async_write(m_socket, buffers, [self = shared_from_this()](const auto &error, auto) {
         self->m_isWriting = false;
+        self->m_hasWriteFailed = static_cast<bool>(error);
         self->m_request = {};
+        if (self->m_isOpen && self->m_endsWithWrite) {
+            self->endWithConnection();
+        }
     });
 }
 
@@ -219,10 +231,13 @@
         return;
     }
     if (error) {
-        // A body without a length is complete when the connection closes, unless it was reset.
-        if (error == asio::error::eof && m_parser.isInMessage() && m_parser.parseEnd() && m_matchesRequest) {
-            m_isOpen = false;
-            endAnswer(false);
+        const bool endsAnswer = m_matchesRequest && m_framing == BodyFraming::ConnectionEnd && !m_parser.isInHead();
+        m_endsWithWrite = error == asio::error::eof && m_isWriting && endsAnswer;
+        if (m_endsWithWrite) {
+            return;
+        }
+        if (error == asio::error::eof) {
+            endWithConnection();
             return;
         }
         fail(core::ErrorKind::BackendServerLost, "the connection ended within the answer (" + error.message() + ")");
@@ -232,6 +247,19 @@
     read();
 }
 
+void ClientConnection::Private::endWithConnection()
+{
+    // A body without a length is complete when the connection closes, unless it was reset. The kernel reports a reset
+    // once: if the write got that error, the read only sees the end of the connection.
+    if (!m_hasWriteFailed && m_parser.isInMessage() && m_parser.parseEnd() && m_matchesRequest) {
+        m_isOpen = false;
+        endAnswer(false);
+        return;
+    }
+    fail(core::ErrorKind::BackendServerLost,
+         m_hasWriteFailed ? "the connection was reset within the answer" : "the connection ended within the answer");
+}
+
 void ClientConnection::Private::parse(std::string_view bytes)
 {
     while (m_isOpen && m_isBusy && !bytes.empty()) {
@@ -359,7 +387,8 @@
         return;
     }
     // If the server answers before it has read the whole request, it would parse the rest of the body as the next one.
-    const bool isReusable = m_isOpen && m_parser.isKeepAlive() && !m_isWriting && !hasMoreBytes && !m_hasSkippedAnswer;
+    const bool isReusable = m_isOpen && m_parser.isKeepAlive() && !m_isWriting && !m_hasWriteFailed && !hasMoreBytes
+        && !m_hasSkippedAnswer;
     const auto handlers = std::exchange(m_handlers, {});
     m_isBusy = false;
     limitHeadTime();
--- a/packages/http/tests/httpclienttest.cpp
+++ b/packages/http/tests/httpclienttest.cpp
@@ -298,6 +298,48 @@
     held.clear();
 }
 
+// A server answered a long upload at once, without a length, and reset the connection while the upload was being
+// written. The write got the error of the reset, and the read took the end of the connection for that of the answer.
+TEST(HttpClient, answerWithoutALengthThatIsResetWithinTheUploadIsIncomplete)
+{
+    constexpr int rounds = 20;
+    for (int round = 0; round < rounds; ++round) {
+        RawListener listener;
+        HttpClient client;
+        auto request = getRequest(listener.url());
+        request.method = "POST";
+        request.body = std::string(32UL * 1024 * 1024, 'x');
+        auto result = std::async(std::launch::async, [&] { return client.fetchAndWait(request); });
+        auto socket = listener.accept();
+        readRequest(socket, 0);
+        asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nhalf")));
+        socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+        EXPECT_EQ(kindOf(result.get()), ErrorKind::BackendServerLost);
+    }
+}
+
+// A server that answers early, ends its side of the connection and reads on has given a whole answer.
+TEST(HttpClient, answerWithoutALengthIsCompleteIfTheServerReadsTheUpload)
+{
+    RawListener listener;
+    HttpClient client;
+    auto request = getRequest(listener.url());
+    request.method = "POST";
+    request.body = std::string(32UL * 1024 * 1024, 'x');
+    auto result = std::async(std::launch::async, [&] { return client.fetchAndWait(request); });
+    auto socket = listener.accept();
+    readRequest(socket, 0);
+    asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nwhole")));
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    std::string upload;
+    asio::error_code error;
+    asio::read(socket, asio::dynamic_buffer(upload), error);
+    const auto answer = result.get();
+    ASSERT_TRUE(core::isOk(answer));
+    EXPECT_EQ(core::valueOf(answer).body, "whole");
+}
+
 // The answer to a request that set no limit was kept until the memory of the machine was used up.
 TEST(HttpClient, answerWithoutEndFailsAtTheDefaultLimit)
 {
