HTTP: heads are checked against the grammar before http_parser reads them

Other operators saw answers with status 000, and answers in whose head the name of a field held a blank or a control byte, reach clients. Here, before: status 000, 099, 20 or 2 counted as an interim answer (504 at the end of the request's time, or the next answer on the connection), 0200 as a success; a line with a blank in its name was passed on, and "Content-Length : 3" hid the length. Callers' fields with a blank passed the filter of reserved fields.

Cause: http_parser as Debian builds it is lenient, and what the entry reads out of the fields and what the parser did with them can differ.

HeadSyntax checks status line, names, control bytes and line ends, of requests and answers.

Measured, on the code before: 4 of the 5 MalformedAnswers tests failed, and HostileCaller.fieldsWithABlankInTheirNameAreRefused. All pass now.

--- a/packages/forwarding/tests/endlessanswerstest.cpp
+++ b/packages/forwarding/tests/endlessanswerstest.cpp
@@ -21,6 +21,7 @@
 std::vector<EndlessAnswer> fullSpeedAnswers()
 {
     return {
+        {"empty lines", "", "\r\n"},
         {"status line", "HTTP/1.1 200 ", "O"},
         {"head of one field", head + "Long: ", "x"},
         {"head of many fields", head, "Field: x\r\n"},
--- a/packages/forwarding/tests/hostilepeerstest.cpp
+++ b/packages/forwarding/tests/hostilepeerstest.cpp
@@ -296,6 +296,20 @@
     EXPECT_TRUE(backend.requests.empty());
 }
 
+// Reserved fields passed the filter if a blank stood before the colon or the line.
+TEST(HostileCaller, fieldsWithABlankInTheirNameAreRefused)
+{
+    EntrySimulation simulation;
+    simulation.configure(RouteKind::NonIdempotent);
+    auto &backend = simulation.addBackend(always({backendAnswer("ok")}));
+    for (const std::string field :
+         {"Organisation : other\r\n", " Organisation: other\r\n", "Extra: x\r\n Organisation: y\r\n",
+          "Organisation\t: other\r\n", "Content-Length : 3\r\n"}) {
+        EXPECT_TRUE(hasStatus(simulation.exchange(callerRequest("POST", "fee=1", field)), 400)) << field;
+    }
+    EXPECT_TRUE(backend.requests.empty());
+}
+
 TEST(HostileCaller, fieldsReservedForTheEntryAreRemovedFromARequest)
 {
     EntrySimulation simulation;
--- a/packages/http/include/lycheelanding/http/httpmessages.h
+++ b/packages/http/include/lycheelanding/http/httpmessages.h
@@ -61,6 +61,8 @@
 };
 
 std::string_view nameOf(BodyFraming framing);
+/// Whether answers with the status end with their head, whatever their fields say (1xx, 204 and 304).
+bool hasNoBody(int status);
 /// The framing of an answer to a request other than HEAD.
 BodyFraming bodyFramingOf(int status, const HttpHeaders &headers);
 
--- a/packages/http/src/httpmessages.cpp
+++ b/packages/http/src/httpmessages.cpp
@@ -65,9 +65,14 @@
     return core::nameIn(bodyFramingNames, framing);
 }
 
+bool hasNoBody(int status)
+{
+    return status < firstFinalStatus || status == noContent || status == notModified;
+}
+
 BodyFraming bodyFramingOf(int status, const HttpHeaders &headers)
 {
-    if (status < firstFinalStatus || status == noContent || status == notModified) {
+    if (hasNoBody(status)) {
         return BodyFraming::NoBody;
     }
     if (const auto encoding = headers.find("Transfer-Encoding")) {
--- a/packages/http/src/private/messageparser.h
+++ b/packages/http/src/private/messageparser.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "lycheelanding/http/httpmessages.h"
+#include "private/headsyntax.h"
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -14,11 +16,6 @@
 
 namespace lycheelanding::http {
 
-enum class MessageType : std::uint8_t {
-    Request,
-    Response,
-};
-
 /// Limits on a peer's messages; a message that exceeds one is a parser error.
 struct ParserBounds
 {
@@ -72,7 +69,8 @@
 class MessageParser
 {
 public:
-    MessageParser(MessageType type, const ParserBounds &bounds, Sink &sink) : m_bounds(bounds), m_sink(sink)
+    MessageParser(MessageType type, const ParserBounds &bounds, Sink &sink)
+        : m_bounds(bounds), m_sink(sink), m_syntax(type)
     {
         http_parser_init(&m_parser, type == MessageType::Request ? HTTP_REQUEST : HTTP_RESPONSE);
         m_parser.data = this;
@@ -88,6 +86,9 @@
             http_parser_pause(&m_parser, 0);
         }
         const bool wasInBody = m_hasStarted && m_isHeadEnded;
+        if (!wasInBody && m_syntax.check(bytes) == HeadSyntax::Result::Invalid) {
+            return ParseState::Failed;
+        }
         const std::size_t bodyBytesBefore = m_bodyBytes;
         const std::size_t consumedBytes = http_parser_execute(&m_parser, &settings(), bytes.data(), bytes.size());
         if (wasInBody) {
@@ -104,6 +105,7 @@
         const auto error = HTTP_PARSER_ERRNO(&m_parser);
         if (m_hasEnded && (error == HPE_OK || error == HPE_PAUSED)) {
             m_hasStarted = false;
+            m_syntax.restart();
             return ParseState::MessageEnded;
         }
         return error == HPE_OK ? ParseState::NeedsMore : ParseState::Failed;
@@ -188,7 +190,8 @@
     int addName(std::string_view bytes)
     {
         if (m_isHeadEnded) {
-            return 0; // Trailer fields are ignored.
+            // Trailer fields are ignored.
+            return std::all_of(bytes.begin(), bytes.end(), isTokenCharacter) ? 0 : 1;
         }
         if (m_isInValue) {
             endField();
@@ -235,11 +238,33 @@
             m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
         }
         m_head.status = isRequest ? 0 : static_cast<int>(m_parser.status_code);
+        if (!isRequest && !hasSoundFraming()) {
+            return -1;
+        }
         const bool isLengthKnown = m_parser.content_length != UINT64_MAX;
         if (m_bounds.maxBodyBytes != 0 && isLengthKnown && m_parser.content_length > m_bounds.maxBodyBytes) {
             return -1;
         }
-        return m_sink.onHead(std::move(m_head)) ? 0 : noBody;
+        const bool mayHaveBody = isRequest || !hasNoBody(m_head.status);
+        return m_sink.onHead(std::move(m_head)) && mayHaveBody ? 0 : noBody;
+    }
+
+    /// Whether the fields of an answer leave no doubt about the end of its body. http_parser ignores an empty length,
+    /// and reads a body with an unknown transfer coding until the connection ends.
+    bool hasSoundFraming() const
+    {
+        std::size_t codings = 0;
+        for (const auto &field : m_head.headers.fields()) {
+            const bool isCoding = isSameHeaderName(field.name, "Transfer-Encoding");
+            codings += isCoding ? 1 : 0;
+            if (isCoding && (codings > 1 || !isSameHeaderName(field.value, "chunked"))) {
+                return false;
+            }
+            if (isSameHeaderName(field.name, "Content-Length") && (m_parser.flags & F_CONTENTLENGTH) == 0) {
+                return false;
+            }
+        }
+        return true;
     }
 
     int addBody(std::string_view bytes)
@@ -262,6 +287,7 @@
 
     const ParserBounds m_bounds;
     Sink &m_sink;
+    HeadSyntax m_syntax;
     http_parser m_parser{};
     ParsedHead m_head;
     std::string m_name;
