Planned stop: an entry waits until its callers have read their answers

Cause: a request counted as finished when its backend server had answered; with none left the entry exited after a flush of 300 ms. Ruled out: the write timeout (30 s) and the limit of unsent bytes, which were not reached.

An entry that drains closes idle connections and each other one after its answer, so that it exits when none is open or the time is over. The entry of the own interface flushes until the end of its time for running requests.

PlannedStop's callers now get only what has arrived when the entry may exit: in the version before, the simulated entry went on after its stop, and requestThatWaitsForAPlaceIsRefusedAsNotRun passed on the old code by the request's wait running out.

--- a/packages/daemon/src/entry/entrydaemon.cpp
+++ b/packages/daemon/src/entry/entrydaemon.cpp
@@ -28,7 +28,7 @@
 
 constexpr std::chrono::milliseconds drainCheckInterval(20);
 constexpr std::chrono::milliseconds capacityUpdateInterval(50);
-/// Maximum time for sending the last bytes of answers after the drain has ended.
+/// Time for sending the last bytes of answers after the time for running requests.
 constexpr std::chrono::milliseconds flushTimeout(2000);
 constexpr std::chrono::seconds storeWatchTimeout(20);
 
@@ -426,7 +426,7 @@
     for (const auto &request : m_running.all()) {
         request->abandon();
     }
-    m_stopDeadline = m_clock.now() + flushTimeout;
+    m_stopDeadline = m_gate.deadline().value_or(m_clock.now()) + flushTimeout;
 }
 
 void EntryDaemon::Private::tickGate()
--- a/packages/daemon/src/entry/entrygate.cpp
+++ b/packages/daemon/src/entry/entrygate.cpp
@@ -62,6 +62,12 @@
     handle([](EntryDrain &drain, core::TimePoint now) { return drain.tick(now); });
 }
 
+std::optional<core::TimePoint> EntryGate::deadline() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_drain.deadline();
+}
+
 bool EntryGate::isReady() const
 {
     const std::scoped_lock lock(m_mutex);
--- a/packages/daemon/src/entry/entrygate.h
+++ b/packages/daemon/src/entry/entrygate.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <mutex>
+#include <optional>
 
 namespace lycheelanding::daemon::entry {
 
@@ -34,6 +35,8 @@
     void stopRequested();
     void tick();
 
+    /// When requests that are still running are abandoned; unset without a stop request.
+    std::optional<core::TimePoint> deadline() const;
     bool isReady() const;
     /// Whether attempts may be started.
     bool isSending() const;
--- a/packages/decisions/include/lycheelanding/decisions/membership/entrydrain.h
+++ b/packages/decisions/include/lycheelanding/decisions/membership/entrydrain.h
@@ -49,6 +49,8 @@
     bool isReady() const { return !m_stopRequestedAt; }
     /// Whether attempts may be started.
     bool isSending() const { return m_isSending; }
+    /// When requests that are still running are abandoned; unset without a stop request.
+    std::optional<core::TimePoint> deadline() const;
     DrainPhase phase() const { return m_phase; }
     std::size_t running() const { return m_running; }
 
--- a/packages/decisions/src/membership/entrydrain.cpp
+++ b/packages/decisions/src/membership/entrydrain.cpp
@@ -74,6 +74,11 @@
     }
 }
 
+std::optional<core::TimePoint> EntryDrain::deadline() const
+{
+    return m_stopRequestedAt ? std::optional(*m_stopRequestedAt + m_settings.timeout) : std::nullopt;
+}
+
 std::chrono::milliseconds EntryDrain::acceptTime() const
 {
     return std::min(m_settings.notReadyTime, m_settings.timeout / acceptDivisor);
--- a/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/entryserver.h
@@ -129,8 +129,8 @@
     asio::steady_timer m_drainTimer;
     std::function<void()> m_onStopped;
     bool m_isStopped = false;
-    /// Until then a stopped entry waits for its last answers to be written.
-    core::TimePoint m_flushDeadline;
+    /// Requests that the end of the drain has abandoned.
+    std::size_t m_abandoned = 0;
     http::HttpServer m_callerServer;
     http::HttpServer m_readinessServer;
 };
--- a/packages/forwarding/src/entryserver.cpp
+++ b/packages/forwarding/src/entryserver.cpp
@@ -16,7 +16,7 @@
 constexpr std::chrono::milliseconds drainCheckInterval{20};
 /// How long a request waits for a starting entry to read the configuration, which takes some ten milliseconds.
 constexpr std::chrono::milliseconds earlyRequestTimeout{500};
-/// How long a stopped entry waits until the last bytes are written to its callers.
+/// How long an entry waits, after the time for its running requests, until its callers have their answers.
 constexpr std::chrono::milliseconds finalFlushTimeout{300};
 
 http::HttpServerSettings serverSettings(const asio::ip::tcp::endpoint &endpoint, std::size_t maxConnections)
@@ -271,9 +271,11 @@
 void EntryServer::tickDrain()
 {
     execute(m_drain.tick(m_clock.now()));
-    // Finished answers may not be written completely yet.
-    const bool isWritten = m_callerServer.openExchanges() == 0 || m_clock.now() >= m_flushDeadline;
-    if (m_isStopped && isWritten) {
+    // Callers may not have read the last answers yet.
+    const bool isRead = m_callerServer.openConnections() == 0;
+    if (m_isStopped && (isRead || m_clock.now() >= *m_drain.deadline() + finalFlushTimeout)) {
+        m_log.write(LogImportance::State, "stopped",
+                    {{"cutOff", static_cast<std::int64_t>(m_abandoned + m_callerServer.openExchanges())}});
         std::exchange(m_onStopped, nullptr)();
         return;
     }
@@ -295,10 +297,9 @@
             forwardEarlyRequests();
             sendWaitingRequests();
         } else if (const auto *exit = std::get_if<decisions::membership::Exit>(&action)) {
+            m_abandoned = exit->unfinished;
             abandonRunning();
-            m_log.write(LogImportance::State, "stopped", {{"cutOff", static_cast<std::int64_t>(exit->unfinished)}});
             m_isStopped = true;
-            m_flushDeadline = m_clock.now() + finalFlushTimeout;
         }
     }
 }
--- a/packages/forwarding/tests/entrysimulation.h
+++ b/packages/forwarding/tests/entrysimulation.h
@@ -147,8 +147,9 @@
 public:
     /// Log lines are written to the descriptor; -1 discards them.
     explicit EntrySimulation(int logDescriptor = -1, bool adaptiveCapacity = false,
-                             const decisions::membership::EntryDrainSettings &drain = {})
-        : m_log(logDescriptor, "entry"), m_entry(m_context, settings(adaptiveCapacity, drain), m_log)
+                             const decisions::membership::EntryDrainSettings &drain = {},
+                             const http::CallerMemoryPointer &memory = nullptr)
+        : m_log(logDescriptor, "entry"), m_entry(m_context, settings(adaptiveCapacity, drain, memory), m_log)
     {
         isStarted = core::isOk(m_entry.start());
         m_entry.setLeavingHandler([this](const BackendId &id) { reportedLeaving.push_back(id); });
@@ -274,7 +275,8 @@
         }
     }
 
-    static EntryServerSettings settings(bool adaptiveCapacity, const decisions::membership::EntryDrainSettings &drain)
+    static EntryServerSettings settings(bool adaptiveCapacity, const decisions::membership::EntryDrainSettings &drain,
+                                        const http::CallerMemoryPointer &memory)
     {
         EntryServerSettings settings;
         const auto address = asio::ip::make_address("127.0.0.1");
@@ -296,6 +298,7 @@
         settings.names.coldTime = "Cold";
         settings.adaptiveCapacity = adaptiveCapacity;
         settings.drain = drain;
+        settings.callerMemory = memory;
         return settings;
     }
 
--- a/packages/forwarding/tests/plannedstoptest.cpp
+++ b/packages/forwarding/tests/plannedstoptest.cpp
@@ -1,5 +1,7 @@
 #include "entrysimulation.h"
 
+#include <asio/steady_timer.hpp>
+
 #include <gtest/gtest.h>
 
 #include <array>
@@ -14,24 +16,45 @@
 struct StoppedEntry
 {
     explicit StoppedEntry(RouteKind kind, std::chrono::milliseconds timeout = 100ms)
-        : simulation(-1, false, {10ms, timeout})
+        : simulation(-1, false, {10ms, timeout}, std::make_shared<http::CallerMemory>(accountSettings()))
     {
         simulation.configure(kind, 60s);
     }
 
+    static decisions::admission::MemoryAccountSettings accountSettings()
+    {
+        constexpr std::size_t vmBytes = 256UL * 1024 * 1024;
+        return {decisions::admission::memorySharesOf(vmBytes, CallerLimits().maxBodyBytes)};
+    }
+
     std::string answerTo(const std::string &request, const std::function<bool()> &isReady)
     {
         auto socket = simulation.connect();
         asio::write(socket, asio::buffer(request));
         EXPECT_TRUE(simulation.runUntil(isReady));
-        simulation.entry().stop([this] { hasStopped = true; });
-        auto answer = simulation.receiveAll(socket);
-        EXPECT_TRUE(simulation.runUntil([this] { return hasStopped; }));
+        return stop(socket);
+    }
+
+    /// What the caller on the connection has received when the entry may exit.
+    std::string stop(asio::ip::tcp::socket &socket)
+    {
+        std::string answer;
+        bool isClosed = false;
+        asio::async_read(socket, asio::dynamic_buffer(answer), [&](const auto &, auto) {
+            isClosed = true;
+            socket.close();
+        });
+        bool hasStopped = false;
+        simulation.entry().stop([&hasStopped] { hasStopped = true; });
+        EXPECT_TRUE(simulation.runUntil([&hasStopped] { return hasStopped; }));
+        if (!isClosed) {
+            socket.cancel();
+            EXPECT_TRUE(simulation.runUntil([&isClosed] { return isClosed; }));
+        }
         return answer;
     }
 
     EntrySimulation simulation;
-    bool hasStopped = false;
 };
 
 } // namespace
@@ -92,4 +115,32 @@
     EXPECT_EQ(sent, 1U);
 }
 
+// The process ended 300 ms after the backend servers had given their answers, while callers still read them.
+TEST(PlannedStop, answerThatItsCallerReadsSlowlyIsNotCutOff)
+{
+    StoppedEntry entry(RouteKind::NonIdempotent, 20s);
+    // More than the buffers of the sockets hold and less than an entry keeps for a caller.
+    const std::string body(3UL * 1024 * 1024, 'x');
+    entry.simulation.addBackend([&body](const std::string &) { return ScriptedResponse{backendAnswer(body)}; });
+    asio::ip::tcp::socket socket(entry.simulation.context());
+    socket.open(asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(4096));
+    socket.connect({asio::ip::make_address("127.0.0.1"), entry.simulation.entry().callerPort()});
+    asio::write(socket, asio::buffer(callerRequest("POST", "fee=1")));
+    const auto isAnswered
+        = [&entry] { return entry.simulation.entry().metrics().value(report::Counter::RequestsAnswered) == 1; };
+    EXPECT_TRUE(entry.simulation.runUntil(isAnswered));
+    bool hasStopped = false;
+    entry.simulation.entry().stop([&hasStopped] { hasStopped = true; });
+    // The caller pauses for longer than the flush of 300 ms.
+    asio::steady_timer pause(entry.simulation.context(), 1s);
+    bool isOver = false;
+    pause.async_wait([&isOver](const auto &) { isOver = true; });
+    EXPECT_TRUE(entry.simulation.runUntil([&isOver] { return isOver; }));
+    EXPECT_FALSE(hasStopped);
+    EXPECT_TRUE(entry.simulation.receiveAll(socket).ends_with(body));
+    socket.close();
+    EXPECT_TRUE(entry.simulation.runUntil([&hasStopped] { return hasStopped; }));
+}
+
 } // namespace lycheelanding::forwarding
--- a/packages/http/include/lycheelanding/http/httpserver.h
+++ b/packages/http/include/lycheelanding/http/httpserver.h
@@ -108,6 +108,9 @@
     std::uint16_t port() const;
     /// Number of exchanges whose answers have not been written to the socket completely.
     std::size_t openExchanges() const;
+    /// Number of open connections. While the server drains and idle connections are closed, these are the ones whose
+    /// caller has sent a part of a request, awaits an answer or has not closed the connection after its last one.
+    std::size_t openConnections() const;
 
 private:
     class Private;
--- a/packages/http/src/httpserver.cpp
+++ b/packages/http/src/httpserver.cpp
@@ -240,6 +240,11 @@
     return m_d->port();
 }
 
+std::size_t HttpServer::openConnections() const
+{
+    return m_d->connections().count();
+}
+
 std::size_t HttpServer::openExchanges() const
 {
     return m_d->connections().openExchanges();
