Planned stop: the next request on a connection gets its answer

Cause: while a server drains, every answer closes its connection, whatever has been received behind it. It does so now only if nothing has; the last answer, a refusal as not run, closes it.

--- a/packages/forwarding/tests/plannedstoptest.cpp
+++ b/packages/forwarding/tests/plannedstoptest.cpp
@@ -143,4 +143,22 @@
     EXPECT_TRUE(entry.simulation.runUntil([&hasStopped] { return hasStopped; }));
 }
 
+// A request that its caller had sent behind another one ended without an answer when a stop closed the connection.
+TEST(PlannedStop, nextRequestOnTheConnectionGetsItsAnswer)
+{
+    StoppedEntry entry(RouteKind::NonIdempotent);
+    ScriptedResponse late;
+    late.delayedBytes = backendAnswer("ran");
+    late.delay = 50ms;
+    auto &backend = entry.simulation.addBackend([&late](const std::string &) { return late; });
+    auto socket = entry.simulation.connect();
+    auto first = callerRequest("POST", "fee=1");
+    first.erase(first.find("Connection: close\r\n"), std::string("Connection: close\r\n").size());
+    asio::write(socket, asio::buffer(first + callerRequest("POST", "fee=2")));
+    ASSERT_TRUE(entry.simulation.runUntil([&backend] { return backend.requests.size() == 1; }));
+    const auto answers = entry.stop(socket);
+    EXPECT_TRUE(answers.starts_with("HTTP/1.1 200 ")) << answers;
+    EXPECT_NE(answers.find("HTTP/1.1 503 "), std::string::npos) << answers;
+}
+
 } // namespace lycheelanding::forwarding
--- a/packages/http/src/private/serverconnection.cpp
+++ b/packages/http/src/private/serverconnection.cpp
@@ -196,7 +196,9 @@
         return;
     }
     answer->hasBegun = true;
-    answer->isKeepAlive = answer->isKeepAlive && !m_connections->isDraining();
+    // A request that the caller has sent already gets its answer, which then closes the connection.
+    const bool hasNextRequest = !m_requests.empty() || m_parser.isInMessage() || !m_pending.empty();
+    answer->isKeepAlive = answer->isKeepAlive && (!m_connections->isDraining() || hasNextRequest);
     std::string text = statusLine(status);
     appendHeaderLines(text, headers);
     if (bodyBytes) {
