Forwarding: long failures are passed on whole, useless bodies are not read

A failure beyond the limit is passed on as it arrives, and is not tried elsewhere; any other answer that is not passed on ends its attempt there.

--- a/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/backendattempt.h
@@ -43,6 +43,8 @@
     void send(const http::HttpExchangePointer &exchange, ForwardedFields fields, http::AnswerHandlers handlers);
 
     void recordHead(http::AnswerHead head);
+    /// The failure of the backend server is passed on, and no further attempt is made.
+    void acceptFailure() { m_answerClass = AnswerClass::Valid; }
     /// The answer cannot follow the parts of earlier attempts.
     void rejectAnswer() { m_answerClass = AnswerClass::Invalid; }
     /// `interval`: since the part before, if it is an event of the same stream.
--- a/packages/forwarding/include/lycheelanding/forwarding/calleranswer.h
+++ b/packages/forwarding/include/lycheelanding/forwarding/calleranswer.h
@@ -33,8 +33,8 @@
     bool append(const http::AnswerHead &head, std::string_view bytes);
     /// Whether a stream sends nothing but events that the caller has, and comments, beyond a limit in bytes.
     bool isRepeatingItself() const;
-    /// Buffers a part of an answer that is not forwarded yet, up to a size limit.
-    void hold(std::string_view bytes);
+    /// Buffers a part of an answer that is not forwarded yet. Returns false, and buffers nothing, beyond a size limit.
+    bool hold(std::string_view bytes);
     /// Completes the answer.
     void finish(const http::AnswerHead &head);
     /// The held body as a complete response.
--- a/packages/forwarding/src/calleranswer.cpp
+++ b/packages/forwarding/src/calleranswer.cpp
@@ -74,11 +74,13 @@
     return m_events && m_events->bytesSinceNewEvent() > maxRepeatedBytes;
 }
 
-void CallerAnswer::hold(std::string_view bytes)
+bool CallerAnswer::hold(std::string_view bytes)
 {
-    if (m_held.size() < maxHeldBytes) {
-        m_held.append(bytes);
+    if (m_held.size() + bytes.size() > maxHeldBytes) {
+        return false;
     }
+    m_held.append(bytes);
+    return true;
 }
 
 void CallerAnswer::sendToCaller(const http::AnswerHead &head, std::string_view bytes)
--- a/packages/forwarding/src/forwardedexchange.cpp
+++ b/packages/forwarding/src/forwardedexchange.cpp
@@ -236,8 +236,15 @@
         return;
     }
     if (m_attempt->answerClass() != AnswerClass::Valid) {
-        m_answer.hold(bytes);
-        return;
+        if (m_answer.hold(bytes)) {
+            return;
+        }
+        if (m_attempt->answerClass() != AnswerClass::Failure || m_answer.hasBegun()) {
+            // The rest of an answer that the caller does not get is of no use, and may have no end.
+            onEnd(attempt, false);
+            return;
+        }
+        m_attempt->acceptFailure();
     }
     if (m_answer.append(m_attempt->head(), bytes)) {
         recordEvent();
--- a/packages/forwarding/tests/endlessanswerstest.cpp
+++ b/packages/forwarding/tests/endlessanswerstest.cpp
@@ -29,6 +29,8 @@
         {"answers to other requests", "", "HTTP/1.1 200 OK\r\nAttempt: 12\r\nContent-Length: 2\r\n\r\nab"},
         {"body of another request's answer", "HTTP/1.1 200 OK\r\nAttempt: 12\r\nTransfer-Encoding: chunked\r\n\r\n",
          "4\r\nabcd\r\n"},
+        {"body of an answer without proof", "HTTP/1.1 200 OK\r\nAttempt: 77\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "4\r\nabcd\r\n"},
         {"chunk size", chunked, "0"},
         {"chunk extension", chunked + "4;a=", "x"},
         {"tiny chunks with extensions", chunked, "1;extension=that-is-much-longer-than-its-chunk\r\nx\r\n"},
@@ -116,6 +118,19 @@
     }
 }
 
+// The body of a refusal was read until the time of the request had passed.
+TEST(EndlessAnswers, refusalWithoutEndSendsTheRequestElsewhere)
+{
+    for (const std::string status : {"503 Service Unavailable\r\nNot-Run: 1", "421 Misdirected Request"}) {
+        const EndlessAnswer refusal{
+            status, "HTTP/1.1 " + status + "\r\nAttempt: 77\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"};
+        EndlessSimulation entry(refusal, RouteKind::NonIdempotent);
+        const auto received = entry.play(callerRequest("POST", "release"));
+        EXPECT_LE(entry.peer.sentBytes, maxTakenBytes) << status;
+        EXPECT_TRUE(received.ends_with("sound")) << status << ": " << received.substr(0, 200);
+    }
+}
+
 // An event without its empty line was kept in memory, all of it.
 TEST(EndlessAnswers, streamWithoutFurtherEventsIsResumedElsewhere)
 {
--- a/packages/forwarding/tests/hostilepeerstest.cpp
+++ b/packages/forwarding/tests/hostilepeerstest.cpp
@@ -166,6 +166,32 @@
     EXPECT_EQ(backend.connectionCount(), 2U);
 }
 
+// Of a failure with a long body the caller got the first part, framed as a whole answer.
+TEST(HostileBackend, longFailureIsPassedOnWholeOrEndsVisibly)
+{
+    const std::string body(200'000, 'x');
+    const std::string head = "HTTP/1.1 500 Internal Server Error\r\nProof: p\r\nAttempt: 77\r\n";
+    const auto withLength = head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    for (const auto kind : {RouteKind::NonIdempotent, RouteKind::Idempotent, RouteKind::Stream}) {
+        for (const bool isCutOff : {false, true}) {
+            EntrySimulation simulation;
+            simulation.configure(kind);
+            const auto sent = body.substr(0, isCutOff ? body.size() / 2 : body.size());
+            simulation.addBackend(always({withLength + sent, true}));
+            const auto answer = simulation.exchange(callerRequest("POST", "fee=1"));
+            EXPECT_TRUE(hasStatus(answer, 500)) << answer.substr(0, 200);
+            EXPECT_NE(answer.find("Content-Length: 200000\r\n"), std::string::npos) << answer.substr(0, 200);
+            EXPECT_EQ(answer.ends_with("\r\n\r\n" + body), !isCutOff) << answer.size();
+        }
+        EntrySimulation simulation;
+        simulation.configure(kind);
+        simulation.addBackend(always({head + "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" + body + "\r\n", true}));
+        const auto answer = simulation.exchange(callerRequest("POST", "fee=1"));
+        EXPECT_TRUE(hasStatus(answer, 500)) << answer.substr(0, 200);
+        EXPECT_FALSE(answer.ends_with("0\r\n\r\n"));
+    }
+}
+
 TEST(HostileBackend, idleConnectionIsReused)
 {
     EntrySimulation simulation;
