--- a/packages/core/include/lycheelanding/core/jsonlimits.h
+++ b/packages/core/include/lycheelanding/core/jsonlimits.h
@@ -11,7 +11,7 @@
 {
     /// The deepest documents that the project exchanges, expert maps and configurations, have less than ten levels.
     std::size_t maxDepth = 32;
-    /// Of arrays and objects. The platform's largest value, 1 MiB of routes, has some ten thousand.
+    /// Of arrays and objects. A value of the store, of 1 MiB at most, has some ten thousand if it holds routes.
     std::size_t maxContainers = 250'000;
     std::size_t maxValues = 1'000'000;
 };
--- a/packages/forwarding/tests/endlessanswerstest.cpp
+++ b/packages/forwarding/tests/endlessanswerstest.cpp
@@ -1,4 +1,5 @@
 #include "endlesspeer.h"
+#include "entrysimulation.h"
 
 #include <gtest/gtest.h>
 
--- a/packages/forwarding/tests/endlesspeer.h
+++ b/packages/forwarding/tests/endlesspeer.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "entrysimulation.h"
-
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -40,7 +38,8 @@
         accept();
     }
 
-    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+    asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+    std::string address() const { return "127.0.0.1:" + std::to_string(endpoint().port()); }
 
     int requests = 0;
     int closedConnections = 0;
--- a/packages/http/tests/httpclienttest.cpp
+++ b/packages/http/tests/httpclienttest.cpp
@@ -21,6 +21,14 @@
     return request;
 }
 
+HttpClientRequest longUpload(std::string url)
+{
+    auto request = getRequest(std::move(url));
+    request.method = "POST";
+    request.body = std::string(32UL * 1024 * 1024, 'x');
+    return request;
+}
+
 /// Accepts connections; the test reads and writes the bytes of the server.
 class RawListener
 {
@@ -306,10 +314,7 @@
     for (int round = 0; round < rounds; ++round) {
         RawListener listener;
         HttpClient client;
-        auto request = getRequest(listener.url());
-        request.method = "POST";
-        request.body = std::string(32UL * 1024 * 1024, 'x');
-        auto result = std::async(std::launch::async, [&] { return client.fetchAndWait(request); });
+        auto result = std::async(std::launch::async, [&] { return client.fetchAndWait(longUpload(listener.url())); });
         auto socket = listener.accept();
         readRequest(socket, 0);
         asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nhalf")));
@@ -324,10 +329,7 @@
 {
     RawListener listener;
     HttpClient client;
-    auto request = getRequest(listener.url());
-    request.method = "POST";
-    request.body = std::string(32UL * 1024 * 1024, 'x');
-    auto result = std::async(std::launch::async, [&] { return client.fetchAndWait(request); });
+    auto result = std::async(std::launch::async, [&] { return client.fetchAndWait(longUpload(listener.url())); });
     auto socket = listener.accept();
     readRequest(socket, 0);
     asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nwhole")));
