Frames: sizes in messages of peers take no memory before their bytes are there

Whoever reaches the port of a process of the own interface could end it.

Cause: cereal's archive resizes a text or list to the size that the bytes claim. The reader of the datagrams between sides checks sizes itself.

BoundedInputArchive reads the same bytes, checks a size against what is left, and appends elements one by one. Frames and the heads in them use it.

--- a/packages/daemon/src/shared/answerframing.cpp
+++ b/packages/daemon/src/shared/answerframing.cpp
@@ -1,5 +1,7 @@
 #include "shared/answerframing.h"
 
+#include "lycheelanding/wire/boundedinputarchive.h"
+
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
@@ -23,8 +25,7 @@
 core::Result<HttpAnswerHead> decodeHead(const std::string &text)
 {
     try {
-        std::istringstream stream(text);
-        cereal::PortableBinaryInputArchive archive(stream);
+        wire::BoundedInputArchive archive(text);
         HttpAnswerHead head;
         archive(head.status, head.headers);
         return head;
--- a/packages/wire/include/lycheelanding/wire/framecodec.h
+++ b/packages/wire/include/lycheelanding/wire/framecodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheelanding/core/result.h"
+#include "lycheelanding/wire/boundedinputarchive.h"
 #include "lycheelanding/wire/messages.h"
 
 #include <cereal/archives/portable_binary.hpp>
@@ -67,8 +68,7 @@
         return core::Error{core::ErrorKind::ProtocolMismatch, "unexpected message " + std::string(nameOf(frame.type))};
     }
     try {
-        std::istringstream stream(frame.payload);
-        cereal::PortableBinaryInputArchive archive(stream);
+        BoundedInputArchive archive(frame.payload);
         Message message;
         archive(message);
         return message;
--- a/packages/wire/tests/framecodectest.cpp
+++ b/packages/wire/tests/framecodectest.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+
+#include <cstring>
+
 namespace lycheelanding::wire {
 
 namespace {
@@ -64,4 +68,25 @@
     }
 }
 
+// A message of a few bytes that claimed to hold gigabytes made its reader allocate them before it found them missing.
+TEST(FrameCodecTest, claimedSizesTakeNoMemory)
+{
+    constexpr std::uint64_t claimed = 512ULL * 1024 * 1024;
+    constexpr long maxTakenKilobytes = 64L * 1024;
+    const auto peakKilobytes = [] {
+        rusage usage{};
+        getrusage(RUSAGE_SELF, &usage);
+        return usage.ru_maxrss;
+    };
+    const auto sound = makeFrame(sampleRequest(), core::ConfigurationVersion(5));
+    const long before = peakKilobytes();
+    // Each position, as some of them begin the size of a text or a list.
+    for (std::size_t at = 1; at + sizeof(claimed) <= sound.payload.size(); ++at) {
+        auto frame = sound;
+        std::memcpy(frame.payload.data() + at, &claimed, sizeof(claimed));
+        messageOf<RequestStart>(frame);
+    }
+    EXPECT_LT(peakKilobytes() - before, maxTakenKilobytes);
+}
+
 } // namespace lycheelanding::wire
