--- a/packages/forwarding/tests/hostilepeerstest.cpp
+++ b/packages/forwarding/tests/hostilepeerstest.cpp
@@ -185,7 +185,9 @@
         }
         EntrySimulation simulation;
         simulation.configure(kind);
-        simulation.addBackend(always({head + "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" + body + "\r\n", true}));
+        auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n30d40\r\n";
+        chunked.append(body).append("\r\n");
+        simulation.addBackend(always({chunked, true}));
         const auto answer = simulation.exchange(callerRequest("POST", "fee=1"));
         EXPECT_TRUE(hasStatus(answer, 500)) << answer.substr(0, 200);
         EXPECT_FALSE(answer.ends_with("0\r\n\r\n"));
--- a/packages/forwarding/tests/malformedanswerstest.cpp
+++ b/packages/forwarding/tests/malformedanswerstest.cpp
@@ -69,8 +69,8 @@
          {"HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.1 099 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2 OK", "HTTP/1.1 0200 OK",
           "HTTP/1.1 2000 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 -200 OK", "HTTP/1.1  200 OK",
           "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\x01K", "ICY 200 OK"}) {
-        answers.push_back(start + "\r\n" + rest);
-        answers.push_back(start + "\r\n" + rest + statusOk + rest);
+        answers.push_back(joined({start, "\r\n", rest}));
+        answers.push_back(joined({start, "\r\n", rest, statusOk, rest}));
     }
     expectNotForwarded(answers);
 }
