HTTP client: the length of a body that is not sent is no reason to fail

A plain backend server that answers the probe of a side with HEAD and states a length over 16 MiB would have counted as unreachable since the limit on buffered answers checks the stated length.

Found by reading the change; HttpClient.statedLengthOfABodyThatIsNotSentIsNoLimit guards it.

--- a/packages/http/src/private/httptransfer.cpp
+++ b/packages/http/src/private/httptransfer.cpp
@@ -115,7 +115,8 @@
     const auto self = shared_from_this();
     handlers.onHead = [self](const AnswerHead &head) {
         self->m_hasHead = true;
-        if (head.bodyBytes && self->isTooLarge(*head.bodyBytes)) {
+        // An answer to HEAD, or with status 304, states the length of a body that it does not have.
+        if (head.framing == BodyFraming::ContentLength && self->isTooLarge(head.bodyBytes.value_or(0))) {
             self->finishTooLarge();
             return;
         }
--- a/packages/http/tests/httpclienttest.cpp
+++ b/packages/http/tests/httpclienttest.cpp
@@ -368,6 +368,19 @@
     }
 }
 
+TEST(HttpClient, statedLengthOfABodyThatIsNotSentIsNoLimit)
+{
+    RawListener listener;
+    HttpClient client;
+    auto request = getRequest(listener.url());
+    request.method = "HEAD";
+    auto result = std::async(std::launch::async, [&] { return client.fetchAndWait(request); });
+    auto socket = listener.accept();
+    readRequest(socket, 0);
+    asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n")));
+    EXPECT_TRUE(core::isOk(result.get()));
+}
+
 TEST(HttpClient, destructionCancelsRunningRequests)
 {
     const RawListener listener;
