Entry of the own interface: answers of sides in a file of their own, moved only

Nothing changes but the place of post(), a template that both files use, and a comment on limits of JSON.

--- a/packages/core/include/lycheelanding/core/jsonlimits.h
+++ b/packages/core/include/lycheelanding/core/jsonlimits.h
@@ -6,7 +6,7 @@
 namespace lycheelanding::core {
 
 /// Limits on the JSON documents of peers. A parsed document takes up to 80 bytes of memory for an array or object and
-/// 16 for another value, which may be one or two bytes in the text. The defaults bound a document to some 50 MB.
+/// 16 for another value, which may be one or two bytes in the text.
 struct JsonLimits
 {
     /// The deepest documents that the project exchanges, expert maps and configurations, have less than ten levels.
--- a/packages/daemon/src/entry/forwardedrequest.h
+++ b/packages/daemon/src/entry/forwardedrequest.h
@@ -10,11 +10,13 @@
 #include "lycheelanding/http/httpserver.h"
 #include "lycheelanding/wire/messages.h"
 
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
 
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace lycheelanding::daemon::entry {
@@ -123,4 +125,14 @@
     std::optional<RequestClaim> m_claim;
 };
 
+template <typename Handler>
+void ForwardedRequest::post(Handler handler)
+{
+    asio::post(m_strand, [self = shared_from_this(), handler = std::move(handler)] {
+        if (!self->m_isEnded) {
+            handler(*self);
+        }
+    });
+}
+
 } // namespace lycheelanding::daemon::entry
