--- a/review/14/world.cc
+++ b/review/12/world.cc
@@ -1,4 +1,4 @@
-// Stand-ins of the platform's store, of a rank group of four model engines and of the callers, for review case 14. It
+// Stand-ins of the platform's store, of a rank group of four model engines and of the callers, for review case 12. It
 // starts one entry and four sides with the commands of the deploy file, on loopback addresses.
 #include <nlohmann/json.hpp>
 
