--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,4 +6,6 @@
 for case in 11; do
   "${CXX:-g++}" -std=c++20 -O2 -Wall -Wextra -pthread -o "target/review-3/case$case" "review/$case/case.cc"
 done
-g++ -std=c++20 -O1 -pthread review/12/world.cc -o target/review-3/world12
+for number in 12 13; do
+  "${CXX:-g++}" -std=c++20 -O1 -pthread "review/$number/world.cc" -o "target/review-3/case$number"
+done
